--- /dev/null
+++ b/jest.config.cjs
@@ -0,0 +1,12 @@
+/** Tests are transformed one file at a time; the type checker runs on its own. */
+module.exports = {
+  testEnvironment: 'node',
+  testMatch: ['**/tests/**/*.test.ts'],
+  modulePathIgnorePatterns: ['<rootDir>/dist'],
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' }, module: { type: 'commonjs' } },
+    ],
+  },
+};
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,41 @@
+// Bundles each binary into one file under dist/, so that a process loads nothing it does not use.
+import { readFileSync } from 'node:fs';
+import { chmod, rm } from 'node:fs/promises';
+import { build } from 'esbuild';
+
+const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
+
+// Heap limits of the small processes; docs/FOOTPRINT.md has the measurement.
+const SMALL = '--max-semi-space-size=1 --max-old-space-size=48';
+
+const BINARIES = [
+  { name: 'martenbay', entry: 'src/binary/operator.ts' },
+  { name: 'martenbay-entry', entry: 'src/binary/entry.ts' },
+  { name: 'martenbay-control', entry: 'src/binary/control.ts' },
+  { name: 'martenbay-sidecar', entry: 'src/binary/sidecar.ts', flags: SMALL },
+  { name: 'martenbay-local', entry: 'src/binary/local.ts' },
+  { name: 'stand-ins', entry: 'stand-ins/main.ts' },
+  { name: 'separate', entry: 'scripts/separate/main.ts' },
+  { name: 'bench', entry: 'bench/main.ts' },
+];
+
+await rm('dist', { recursive: true, force: true });
+await Promise.all(
+  BINARIES.map(async ({ name, entry, flags }) => {
+    const outfile = `dist/${name}.cjs`;
+    await build({
+      entryPoints: [entry],
+      outfile,
+      bundle: true,
+      platform: 'node',
+      target: 'node20',
+      format: 'cjs',
+      mainFields: ['module', 'main'],
+      logLevel: 'warning',
+      define: { MARTENBAY_VERSION: JSON.stringify(version) },
+      banner: { js: `#!/usr/bin/env -S node${flags === undefined ? '' : ` ${flags}`}` },
+      external: ['bufferutil', 'utf-8-validate'],
+    });
+    await chmod(outfile, 0o755);
+  }),
+);
--- /dev/null
+++ b/src/binary/entry.ts
@@ -0,0 +1,11 @@
+import { createEntryProcess } from '../entry';
+import { entrySettingsSchema } from '../settings';
+import { runBinary } from './run';
+
+void runBinary({
+  name: 'martenbay-entry',
+  role: 'entry',
+  description: "Takes callers' requests and routes them to targets.",
+  schema: entrySettingsSchema,
+  create: createEntryProcess,
+});
--- /dev/null
+++ b/src/binary/local.ts
@@ -0,0 +1,3 @@
+import { runLocalCommand } from '../local';
+
+void runLocalCommand();
--- /dev/null
+++ b/src/binary/operator.ts
@@ -0,0 +1,3 @@
+import { runOperatorCommand } from '../operator';
+
+void runOperatorCommand();
--- /dev/null
+++ b/src/binary/run.ts
@@ -0,0 +1,122 @@
+import { Command } from 'commander';
+import type * as z from 'zod';
+import {
+  type Clock,
+  type LifeCycle,
+  type Logger,
+  MartenbayError,
+  type RandomSource,
+  SystemClock,
+  SystemRandom,
+  createLogger,
+  messageOf,
+} from '../core';
+import { type HostSettings, loadSettings } from '../settings';
+import { VERSION } from './version';
+
+/** Exit codes of the processes. */
+export const EXIT_CODES = {
+  /** Stopped as asked, with no request cut off. */
+  stopped: 0,
+  /** Failed while starting or running; the last log line has the cause. */
+  failed: 1,
+  /** The settings or the command line are not valid. */
+  invalid: 2,
+} as const;
+
+export interface ProcessParts<Settings> {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly onFailure: () => void;
+}
+
+export interface BinaryOptions<Schema extends z.ZodType> {
+  readonly name: string;
+  readonly role: string;
+  readonly description: string;
+  readonly schema: Schema;
+  readonly create: (parts: ProcessParts<z.output<Schema>>) => LifeCycle;
+}
+
+/** Settings of every role have a host section. */
+type RoleSchema = z.ZodType<{ readonly host: HostSettings }>;
+
+/** The whole command line of one role: run, `validate-settings`, `--help`, `--version`. */
+export async function runBinary<Schema extends RoleSchema>(
+  options: BinaryOptions<Schema>,
+): Promise<void> {
+  const program = new Command(options.name)
+    .description(options.description)
+    .version(VERSION)
+    .option('--settings <file>', 'TOML file with the settings of this process')
+    .exitOverride((error) => {
+      process.exit(error.exitCode === 0 ? 0 : EXIT_CODES.invalid);
+    });
+  const settingsFile = (): string => {
+    const { settings } = program.opts<{ readonly settings?: string }>();
+    if (settings !== undefined) return settings;
+    return program.error('name the settings with --settings FILE.toml');
+  };
+  program.action(async () => {
+    const settings = loadOrExit(options.schema, settingsFile());
+    await runUntilStopped(options, settings);
+  });
+  program
+    .command('validate-settings')
+    .description('check the settings and exit')
+    .action(() => {
+      const file = settingsFile();
+      loadOrExit(options.schema, file);
+      process.stdout.write(`${file}: valid\n`);
+    });
+  await program.parseAsync();
+}
+
+function loadOrExit<Schema extends z.ZodType>(schema: Schema, file: string): z.output<Schema> {
+  try {
+    return loadSettings(schema, file);
+  } catch (error) {
+    if (!(error instanceof MartenbayError)) throw error;
+    process.stderr.write(`${error.message}\n`);
+    return process.exit(EXIT_CODES.invalid);
+  }
+}
+
+async function runUntilStopped<Schema extends RoleSchema>(
+  options: BinaryOptions<Schema>,
+  settings: z.output<Schema>,
+): Promise<void> {
+  const { host } = settings;
+  const logger = createLogger({ role: options.role, host: host.name, level: host['log-level'] });
+  const lifeCycle = options.create({
+    settings,
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    logger,
+    onFailure: () => process.exit(EXIT_CODES.failed),
+  });
+  try {
+    await lifeCycle.start();
+  } catch (error) {
+    logger.fatal({ event: 'start-failed', error: messageOf(error) });
+    process.exit(EXIT_CODES.failed);
+  }
+  logger.info({ event: 'started', version: VERSION });
+  const stop = (signal: NodeJS.Signals) => {
+    logger.info({ event: 'stopping', signal });
+    lifeCycle.stop().then(
+      () => {
+        logger.info({ event: 'stopped' });
+        process.exit(EXIT_CODES.stopped);
+      },
+      (error: unknown) => {
+        logger.fatal({ event: 'stop-failed', error: messageOf(error) });
+        process.exit(EXIT_CODES.failed);
+      },
+    );
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
--- /dev/null
+++ b/src/configuration/tests/parse.test.ts
@@ -0,0 +1,89 @@
+import { digestFiles, parseConfiguration, safeParseConfiguration } from '..';
+import { localFiles } from '../../local/configuration';
+
+const target = (name: string, port: number) => ({
+  name,
+  availabilityZone: 'zone-a',
+  sidecar: { host: '127.0.0.1', port },
+  address: { host: '127.0.0.1', port: port + 1 },
+});
+
+const files = localFiles({ engines: [target('engine-a', 7000)], plain: [target('plain-a', 7002)] });
+
+describe('parseConfiguration', () => {
+  describe('with a valid directory', () => {
+    it('merges the files into one configuration', () => {
+      const configuration = parseConfiguration(files);
+      expect(configuration.number).toBe(1);
+      expect(configuration.services.map((service) => service.name)).toEqual([
+        'assistant',
+        'check-in',
+      ]);
+    });
+
+    it('identifies it by its content, whatever the order of the files', () => {
+      expect(digestFiles([...files].reverse())).toBe(digestFiles(files));
+      expect(parseConfiguration(files).digest).toBe(digestFiles(files));
+    });
+  });
+
+  describe('with faults', () => {
+    const faulty = [
+      {
+        name: 'a.toml',
+        text: `
+number = 1
+[[team]]
+name = "Counter"
+key-digests = ["abc"]
+default-program = "none"
+[[service]]
+name = "chat"
+type = "engine"
+colour = "red"
+`,
+      },
+      { name: 'b.toml', text: 'number = = 2' },
+    ];
+
+    it('names file, key, what was found and the mend, all at once', () => {
+      const result = safeParseConfiguration(faulty);
+      expect(result.err && result.val.message).toMatchSnapshot();
+    });
+
+    it('finds references to nothing, repeated names and services that lack something', () => {
+      const text = `
+number = 1
+[[availability-zone]]
+name = "zone-a"
+region = "north"
+[[availability-zone]]
+name = "zone-a"
+region = "north"
+[[team]]
+name = "counter"
+key-digests = ["${'a'.repeat(64)}"]
+default-program = "missing"
+[[service]]
+name = "chat"
+type = "engine"
+[[service]]
+name = "old"
+type = "plain"
+adoption = "pass-through"
+`;
+      const result = safeParseConfiguration([{ name: 'all.toml', text }]);
+      expect(result.err && result.val.issues).toMatchSnapshot();
+    });
+
+    it('refuses a directory with two numbers, or none', () => {
+      const numbered = { name: 'z.toml', text: 'number = 3' };
+      expect(safeParseConfiguration([...files, numbered]).val).toMatchObject({
+        issues: [{ code: 'number_twice' }],
+      });
+      expect(safeParseConfiguration(files.slice(1)).val).toMatchObject({
+        issues: expect.arrayContaining([expect.objectContaining({ code: 'number_missing' })]),
+      });
+    });
+  });
+});
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,1 @@
+export { type ControlProcessOptions, createControlProcess } from './process';
--- /dev/null
+++ b/src/control/notifier.ts
@@ -0,0 +1,47 @@
+import type { Clock, Component } from '../core';
+
+/** Lets calls wait until something with a key changes. */
+export class Notifier implements Component {
+  readonly #clock: Clock;
+  readonly #waiting = new Map<string, Set<() => void>>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Wakes everyone who waits for `key`. */
+  notify(key: string): void {
+    const waiting = this.#waiting.get(key);
+    this.#waiting.delete(key);
+    for (const wake of waiting ?? []) wake();
+  }
+
+  /** Wakes everyone. */
+  notifyAll(): void {
+    for (const key of [...this.#waiting.keys()]) this.notify(key);
+  }
+
+  /** Wakes everyone, so that calls held here find that this member no longer serves. */
+  stop(): void {
+    this.notifyAll();
+  }
+
+  /** Resolves at the next change of any of the keys, or after `milliseconds`. */
+  wait(keys: readonly string[], milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        cancel();
+        for (const key of keys) this.#waiting.get(key)?.delete(wake);
+        resolve();
+      };
+      const cancel = this.#clock.after(milliseconds, wake);
+      for (const key of keys) this.#add(key, wake);
+    });
+  }
+
+  #add(key: string, wake: () => void): void {
+    const waiting = this.#waiting.get(key) ?? new Set();
+    waiting.add(wake);
+    this.#waiting.set(key, waiting);
+  }
+}
--- /dev/null
+++ b/src/control/process.ts
@@ -0,0 +1,180 @@
+import { join } from 'node:path';
+import {
+  type Clock,
+  LifeCycle,
+  type Logger,
+  Metrics,
+  type RandomSource,
+  messageOf,
+  repeat,
+} from '../core';
+import { ControlClient, HttpListener, answerHealth } from '../protocol';
+import { ControlListener } from '../protocol/control-listener';
+import { ReplicatedLog } from '../replication';
+import type { ControlSettings } from '../settings';
+import { type Command, type CommandResults, ProgramStateMachine } from '../state';
+import { FileRecordStore, type RecordStore } from '../storage';
+import { Notifier } from './notifier';
+import { NodeRegistry } from './registry';
+import { CHANGE_KEYS, ControlService } from './service';
+import { sweepCommands } from './sweep';
+import { ControlTransport } from './transport';
+
+export interface ControlProcessOptions {
+  readonly settings: ControlSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** The file store under the data folder unless given. */
+  readonly store?: RecordStore;
+  /** Called when the process can't go on, after the reason was logged. */
+  readonly onFailure?: () => void;
+}
+
+/** Wires up one control host; the life cycle that is returned starts and stops it. */
+export function createControlProcess(options: ControlProcessOptions): LifeCycle {
+  const { settings, clock, random, logger } = options;
+  const { host, cluster, control } = settings;
+  const metrics = new Metrics();
+  const notifier = new Notifier(clock);
+  const registry = new NodeRegistry(control['session-milliseconds']);
+  const machine = new ProgramStateMachine((command) => {
+    announce(notifier, machine, command);
+  });
+  const credential = cluster['process-credential'];
+  const client = new ControlClient({ members: cluster.control, credential, clock });
+  const transport = new ControlTransport(client, logger);
+  let leading = false;
+  const log = new ReplicatedLog<CommandResults[Command['kind']]>({
+    self: host.name,
+    members: cluster.control.map((member) => member.name),
+    store: options.store ?? new FileRecordStore(join(control['data-folder'], 'log')),
+    transport,
+    machine,
+    clock,
+    random,
+    heartbeatMilliseconds: control['heartbeat-milliseconds'],
+    electionMilliseconds: control['election-milliseconds'],
+    onChange: () => {
+      const { role, term, leader } = log;
+      logger.info({ event: 'replication', state: role, term, leader });
+      if (role === 'leader' && !leading) registry.reset(clock.monotonic());
+      leading = role === 'leader';
+      notifier.notifyAll();
+    },
+    onFailure: (error) => {
+      logger.fatal({ event: 'storage-failed', error: messageOf(error) });
+      options.onFailure?.();
+    },
+  });
+  const service = new ControlService({
+    self: host.name,
+    log,
+    machine,
+    registry,
+    notifier,
+    clock,
+    logger,
+    metrics,
+  });
+  const notReady = () => (log.leader === undefined ? 'no leader is known' : undefined);
+  const listener = new HttpListener({
+    address: host.address,
+    handle: (request, response) => {
+      if (answerHealth({ notReady, metrics }, request, response)) return;
+      response.writeHead(404).end();
+    },
+  });
+  registerGauges(metrics, log, machine);
+
+  const lifeCycle = new LifeCycle();
+  lifeCycle.add('client', client);
+  lifeCycle.add('listener', listener);
+  lifeCycle.add(
+    'control-listener',
+    new ControlListener({
+      listener,
+      api: service,
+      processCredential: credential,
+      operatorCredential: control['operator-credential'],
+    }),
+  );
+  lifeCycle.add('transport', transport);
+  lifeCycle.add('notifier', notifier);
+  lifeCycle.add('log', log);
+  lifeCycle.add('sweep', createSweep({ options, log, machine, registry, notifier }));
+  return lifeCycle;
+}
+
+function announce(notifier: Notifier, machine: ProgramStateMachine, command: Command): void {
+  switch (command.kind) {
+    case 'accept-configuration':
+      notifier.notify(CHANGE_KEYS.configuration);
+      return;
+    case 'forget-programs':
+    case 'confirm-orders':
+      return;
+    case 'create-program':
+      notifier.notify(CHANGE_KEYS.program(command.input.id));
+      return;
+    case 'begin-step':
+    case 'abandon-step':
+    case 'resolve-step':
+      notifier.notify(CHANGE_KEYS.program(command.input.program));
+      return;
+    case 'complete-step':
+    case 'end-program':
+      notifier.notify(CHANGE_KEYS.program(command.input.program));
+      for (const order of machine.tables.orders.values()) {
+        notifier.notify(CHANGE_KEYS.orders(order.target));
+      }
+  }
+}
+
+interface SweepParts {
+  readonly options: ControlProcessOptions;
+  readonly log: ReplicatedLog<CommandResults[Command['kind']]>;
+  readonly machine: ProgramStateMachine;
+  readonly registry: NodeRegistry;
+  readonly notifier: Notifier;
+}
+
+/** The leader's periodic work: silent sidecars, idle programs. */
+function createSweep(parts: SweepParts) {
+  const { options, log, machine, registry, notifier } = parts;
+  const { clock, logger, settings } = options;
+  const sweep = async () => {
+    if (!log.serves) return;
+    const targets =
+      machine.tables.accepted?.configuration.pools.flatMap((pool) =>
+        pool.targets.map((target) => target.name),
+      ) ?? [];
+    if (registry.expire(targets, clock.monotonic())) notifier.notify(CHANGE_KEYS.directory);
+    const retention = settings.control['retention-seconds'] * 1000;
+    for (const command of sweepCommands(machine.tables, clock.now(), retention)) {
+      await log.propose(JSON.stringify(command)).catch((error: unknown) => {
+        logger.warn({ event: 'sweep-failed', error: messageOf(error) });
+      });
+    }
+  };
+  let cancel: () => void = () => undefined;
+  return {
+    start: () => {
+      cancel = repeat(clock, settings.control['sweep-milliseconds'], sweep);
+    },
+    stop: () => {
+      cancel();
+    },
+  };
+}
+
+function registerGauges(
+  metrics: Metrics,
+  log: ReplicatedLog<CommandResults[Command['kind']]>,
+  machine: ProgramStateMachine,
+): void {
+  metrics.gauge('replication_term', () => log.term);
+  metrics.gauge('replication_applied_index', () => log.appliedIndex);
+  metrics.gauge('programs', () => machine.tables.programs.size);
+  metrics.gauge('pending_orders', () => machine.tables.orders.size);
+}
--- /dev/null
+++ b/src/control/registry.ts
@@ -0,0 +1,135 @@
+import type { Heartbeat, Load, NodeStatus, TargetRecord } from '../protocol';
+
+interface Session {
+  readonly heartbeat: Heartbeat;
+  /** Monotonic time in milliseconds. */
+  readonly heardAt: number;
+}
+
+interface VersionedTarget {
+  readonly version: number;
+  readonly record: TargetRecord;
+}
+
+const NO_LOAD: Load = { running: 0, waiting: 0 };
+
+/**
+ * The leader's view of entries and sidecars, from their heartbeats. It is kept in memory only: a
+ * new leader hears from every live process within one heartbeat time, and counts a process it
+ * has not heard from as live until a whole session time has passed since it took the lead.
+ */
+export class NodeRegistry {
+  readonly #sessionMilliseconds: number;
+  readonly #sessions = new Map<string, Session>();
+  readonly #targets = new Map<string, VersionedTarget>();
+  #version = 0;
+  #leaderSince = 0;
+
+  constructor(sessionMilliseconds: number) {
+    this.#sessionMilliseconds = sessionMilliseconds;
+  }
+
+  /** Forgets everything: this member has just taken the lead. */
+  reset(now: number): void {
+    this.#sessions.clear();
+    this.#targets.clear();
+    this.#version = 0;
+    this.#leaderSince = now;
+  }
+
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Notes a heartbeat; returns whether the directory of targets changed. */
+  hear(heartbeat: Heartbeat, now: number): boolean {
+    const key = keyOf(heartbeat.kind, heartbeat.name);
+    this.#sessions.set(key, { heartbeat, heardAt: now });
+    if (heartbeat.kind === 'entry' || heartbeat.target === undefined) return false;
+    return this.#putTarget({
+      target: heartbeat.target,
+      state: heartbeat.state,
+      incarnation: heartbeat.incarnation,
+      load: heartbeat.load ?? NO_LOAD,
+    });
+  }
+
+  /** Marks targets whose sidecars fell silent; returns whether any did. */
+  expire(targets: readonly string[], now: number): boolean {
+    if (!this.#graceOver(now)) return false;
+    const silent = targets.filter((target) => !this.#targetHeard(target, now));
+    const changed = silent.map((target) => {
+      const known = this.#targets.get(target)?.record;
+      const incarnation = known?.incarnation ?? '';
+      return this.#putTarget({ target, state: 'lost', incarnation, load: NO_LOAD });
+    });
+    return changed.includes(true);
+  }
+
+  /** Targets whose records changed after `version`. */
+  targetsSince(version: number): readonly TargetRecord[] {
+    return [...this.#targets.values()]
+      .filter((target) => target.version > version)
+      .map((target) => target.record);
+  }
+
+  /** Whether an entry process, as name/incarnation, has surely ended or lost its session. */
+  entryIsDead(identity: string, now: number): boolean {
+    const [name = '', incarnation = ''] = identity.split('/');
+    const session = this.#sessions.get(keyOf('entry', name));
+    if (session === undefined) return this.#graceOver(now);
+    if (session.heartbeat.incarnation !== incarnation) return true;
+    return this.#silent(session, now);
+  }
+
+  /** All known processes, for status. */
+  nodes(now: number): readonly NodeStatus[] {
+    return [...this.#sessions.values()]
+      .map((session) => {
+        const { kind, name, state, configurationNumber, target, load } = session.heartbeat;
+        const shown = this.#silent(session, now) ? 'lost' : state;
+        return { kind, name, state: shown, configurationNumber, target, load } as const;
+      })
+      .sort((left, right) => (left.name < right.name ? -1 : 1));
+  }
+
+  #targetHeard(target: string, now: number): boolean {
+    return [...this.#sessions.values()].some(
+      (session) => session.heartbeat.target === target && !this.#silent(session, now),
+    );
+  }
+
+  #silent(session: Session, now: number): boolean {
+    return now - session.heardAt > this.#sessionMilliseconds;
+  }
+
+  #graceOver(now: number): boolean {
+    return now - this.#leaderSince > this.#sessionMilliseconds;
+  }
+
+  #putTarget(record: TargetRecord): boolean {
+    const known = this.#targets.get(record.target)?.record;
+    if (known !== undefined && sameRecord(known, record)) return false;
+    this.#version += 1;
+    this.#targets.set(record.target, { version: this.#version, record });
+    return true;
+  }
+}
+
+function keyOf(kind: Heartbeat['kind'], name: string): string {
+  return `${kind} ${name}`;
+}
+
+/** Loads count as equal within a factor of two, so that small changes cost no messages. */
+function sameRecord(left: TargetRecord, right: TargetRecord): boolean {
+  return (
+    left.state === right.state &&
+    left.incarnation === right.incarnation &&
+    magnitude(left.load.running) === magnitude(right.load.running) &&
+    magnitude(left.load.waiting) === magnitude(right.load.waiting)
+  );
+}
+
+function magnitude(count: number): number {
+  return Math.ceil(Math.log2(count + 1));
+}
--- /dev/null
+++ b/src/core/index.ts
@@ -0,0 +1,9 @@
+export { type Address, addressSchema, formatAddress } from './address';
+export { type CancelTimer, type Clock, SystemClock, delay, repeat } from './clock';
+export { digestPrefixes, digestText, digestValue, equalSecrets } from './digest';
+export { type Issue, MartenbayError, formatIssue, formatPath, messageOf } from './errors';
+export { type Component, LifeCycle } from './life-cycle';
+export { type LogOptions, type Logger, createLogger, createSilentLogger } from './log';
+export { Metrics } from './metrics';
+export { type RandomSource, SeededRandom, SystemRandom } from './random';
+export { issuesOf, parseDocument } from './toml';
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,1 @@
+export { type EntryProcessOptions, createEntryProcess } from './process';
--- /dev/null
+++ b/src/entry/process.ts
@@ -0,0 +1,91 @@
+import { ConfigurationInForce } from '../configuration';
+import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource } from '../core';
+import { ControlClient, HttpListener, Presence, type WatchChanges } from '../protocol';
+import { createPolicy } from '../routing';
+import type { EntrySettings } from '../settings';
+import type { EntryContext } from './context';
+import { TargetDirectory } from './directory';
+import { EntryServer } from './server';
+import { SidecarClient } from './sidecar-client';
+
+export interface EntryProcessOptions {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** Wires up one entry; the life cycle that is returned starts and stops it. */
+export function createEntryProcess(options: EntryProcessOptions): LifeCycle {
+  const { settings, clock, random, logger } = options;
+  const { host, cluster, entry } = settings;
+  const credential = cluster['process-credential'];
+  const incarnation = random.hex(8);
+  const metrics = new Metrics();
+  const configuration = new ConfigurationInForce();
+  const directory = new TargetDirectory(host['availability-zone'], clock);
+  const control = new ControlClient({ members: cluster.control, credential, clock });
+  const sidecars = new SidecarClient(credential);
+  let stopping = false;
+  const context: EntryContext = {
+    identity: `${host.name}/${incarnation}`,
+    settings: entry,
+    configuration,
+    control,
+    directory,
+    sidecars,
+    policy: createPolicy(entry.policy),
+    clock,
+    random,
+    logger,
+    metrics,
+    isStopping: () => stopping,
+  };
+  const onChanges = (changes: WatchChanges) => {
+    if (changes.directory !== undefined) directory.update(changes.directory);
+    if (changes.configuration === undefined) return;
+    const { number, files } = changes.configuration;
+    const outcome = configuration.adopt(number, files);
+    logger.info({ event: 'configuration', outcome, number });
+    void presence.announce();
+  };
+  const presence = new Presence({
+    client: control,
+    clock,
+    logger,
+    heartbeatMilliseconds: entry['heartbeat-milliseconds'],
+    describe: () => ({
+      kind: 'entry',
+      name: host.name,
+      incarnation,
+      state: stopping ? 'leaving' : 'serving',
+      configurationNumber: configuration.number,
+    }),
+    position: () => ({
+      configurationNumber: configuration.number,
+      directory: directory.position,
+    }),
+    onChanges,
+  });
+  const server = new EntryServer(context);
+  metrics.gauge('requests_running', () => server.running);
+  metrics.gauge('configuration_number', () => configuration.number);
+  const listener = new HttpListener({
+    address: host.address,
+    handle: server.handle,
+    headerLimitBytes: entry['header-limit-bytes'],
+  });
+
+  const lifeCycle = new LifeCycle();
+  lifeCycle.add('control-client', control);
+  lifeCycle.add('sidecar-client', sidecars);
+  lifeCycle.add('presence', presence);
+  lifeCycle.add('listener', listener);
+  lifeCycle.add('drain', {
+    stop: async () => {
+      stopping = true;
+      await server.drain();
+    },
+  });
+  return lifeCycle;
+}
--- /dev/null
+++ b/src/entry/programs.ts
@@ -0,0 +1,126 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import * as z from 'zod';
+import type { Team } from '../configuration';
+import { digestValue } from '../core';
+import type { ProgramView } from '../state';
+import { type EntryContext, askControl, configurationOf } from './context';
+import { Refusal, notRun } from './refusal';
+import { authenticate, parseCallHeaders, parseJson, readBody } from './request';
+import { statusOf } from './step';
+
+const createSchema = z.strictObject({
+  kind: z.string().min(1).optional(),
+  /** Program whose sub-agent this one is. */
+  parent: z.string().min(1).optional(),
+});
+
+const PREFIX = '/v1/programs';
+
+/** Answers `POST /v1/programs`, `GET` and `DELETE /v1/programs/{id}`. */
+export async function handlePrograms(
+  context: EntryContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const team = authenticate(request, configurationOf(context));
+  const id = decodeId((request.url ?? '').slice(PREFIX.length + 1));
+  if (request.method === 'POST' && id === '') {
+    sendProgram(response, 201, await createProgram(context, team, request));
+  } else if (request.method === 'GET' && id !== '') {
+    sendProgram(response, 200, await getProgram(context, team, id));
+  } else if (request.method === 'DELETE' && id !== '') {
+    sendProgram(response, 200, await endProgram(context, team, id));
+  } else {
+    throw notRun(404, 'not-found', `no such path; programs are at ${PREFIX} and ${PREFIX}/{id}`);
+  }
+}
+
+function decodeId(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    throw notRun(400, 'bad-request', 'the program id is not properly encoded');
+  }
+}
+
+async function createProgram(
+  context: EntryContext,
+  team: Team,
+  request: IncomingMessage,
+): Promise<ProgramView> {
+  const headers = parseCallHeaders(
+    request,
+    context.clock,
+    context.settings['default-deadline-milliseconds'],
+  );
+  const body = await readBody(request, context.settings['body-limit-bytes']);
+  const { kind, parent } = parseJson(createSchema, body);
+  const key = headers.idempotencyKey;
+  const id =
+    key === undefined
+      ? `p-${context.random.hex(12)}`
+      : `p-${digestValue([team.name, 'program', key]).slice(0, 24)}`;
+  const input = {
+    id,
+    team: team.name,
+    ...(kind === undefined ? {} : { kind }),
+    ...(parent === undefined ? {} : { parent }),
+  };
+  const outcome = await askControl('unknown', () =>
+    context.control.call((connection, signal) =>
+      connection.programs.create.mutate(input, { signal }),
+    ),
+  );
+  if (outcome.outcome === 'created') return outcome.program;
+  throw refusalOf(outcome);
+}
+
+async function getProgram(context: EntryContext, team: Team, id: string): Promise<ProgramView> {
+  const outcome = await askControl('not-run', () =>
+    context.control.call((connection, signal) =>
+      connection.programs.get.query({ program: id, team: team.name }, { signal }),
+    ),
+  );
+  if (outcome.outcome === 'found') return outcome.program;
+  throw refusalOf(outcome);
+}
+
+async function endProgram(context: EntryContext, team: Team, id: string): Promise<ProgramView> {
+  const end = { program: id, reason: 'deleted' } as const;
+  const outcome = await askControl('unknown', () =>
+    context.control.call((connection, signal) =>
+      connection.programs.end.mutate({ end, team: team.name }, { signal }),
+    ),
+  );
+  if (outcome.outcome === 'ended') return outcome.program;
+  throw refusalOf(outcome);
+}
+
+function refusalOf(refused: { readonly code: string; readonly message: string }): Refusal {
+  const { code, message } = refused;
+  return new Refusal({ status: statusOf(code), code, message, outcome: 'not-run' });
+}
+
+function sendProgram(response: ServerResponse, status: number, program: ProgramView): void {
+  const { id, parent, kind, state, endReason, nextSequence, messageCount, spending } = program;
+  response.writeHead(status, { 'content-type': 'application/json' }).end(
+    JSON.stringify({
+      id,
+      object: 'program',
+      parent: parent ?? null,
+      kind,
+      state,
+      end_reason: endReason ?? null,
+      next_sequence: nextSequence,
+      message_count: messageCount,
+      budget: {
+        token_limit: spending.tokenLimit,
+        tokens_spent: spending.spentTokens,
+        tokens_reserved: spending.reservedTokens,
+        call_limit: spending.callLimit,
+        calls_spent: spending.spentCalls,
+        calls_reserved: spending.reservedCalls,
+      },
+    }),
+  );
+}
--- /dev/null
+++ b/src/entry/refusal.ts
@@ -0,0 +1,97 @@
+import type { ServerResponse } from 'node:http';
+import { MartenbayError } from '../core';
+import { HEADERS, type RunOutcome } from '../protocol';
+
+export type RefusalReason =
+  | 'bad-request'
+  | 'unauthorized'
+  | 'not-found'
+  | 'not-ours'
+  | 'body-too-large'
+  | 'unknown-model'
+  | 'no-target'
+  | 'target-failed'
+  | 'outcome-unknown'
+  | 'earlier-step-missing'
+  | 'step-running'
+  | 'deadline-passed'
+  | 'control-unavailable'
+  | 'superseded'
+  | 'shutting-down'
+  | 'internal';
+
+export interface RefusalOptions {
+  readonly status: number;
+  readonly code: string;
+  readonly message: string;
+  readonly outcome: RunOutcome;
+  /** Sent as Retry-After; always present with 429 and 503. */
+  readonly retryAfterSeconds?: number;
+  readonly cause?: unknown;
+}
+
+/** A request that gets no answer; the caller learns why, and whether it ran. */
+export class Refusal extends MartenbayError {
+  readonly status: number;
+  readonly code: string;
+  readonly outcome: RunOutcome;
+  readonly retryAfterSeconds: number | undefined;
+
+  constructor(options: RefusalOptions) {
+    const { code, message } = options;
+    super([{ code, path: [], message }], { cause: options.cause });
+    this.status = options.status;
+    this.code = code;
+    this.outcome = options.outcome;
+    this.retryAfterSeconds = options.retryAfterSeconds ?? defaultRetryAfter(options.status);
+  }
+
+  /** The JSON body; its shape is that of the OpenAI API's errors, with `outcome` added. */
+  toBody(): RefusalBody {
+    const { code, message, outcome } = this;
+    return { error: { message, type: 'martenbay_refusal', code, outcome } };
+  }
+}
+
+export interface RefusalBody {
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly code: string;
+    readonly outcome: RunOutcome;
+  };
+}
+
+function defaultRetryAfter(status: number): number | undefined {
+  return status === 429 || status === 503 ? 1 : undefined;
+}
+
+/** Builds a refusal of a request that did not run. */
+export function notRun(status: number, code: RefusalReason, message: string): Refusal {
+  return new Refusal({ status, code, message, outcome: 'not-run' });
+}
+
+/** Turns anything thrown into a refusal; what isn't one already may have run. */
+export function toRefusal(error: unknown): Refusal {
+  if (error instanceof Refusal) return error;
+  const message = 'an internal error; the log of this entry has the cause';
+  return new Refusal({ status: 500, code: 'internal', message, outcome: 'unknown', cause: error });
+}
+
+/** Sends a refusal, as an event if the answer is a stream that has begun. */
+export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+  if (response.headersSent) {
+    const streamed = String(response.getHeader('content-type') ?? '').includes('event-stream');
+    if (streamed) response.end(`data: ${JSON.stringify(refusal.toBody())}\n\n`);
+    else response.destroy();
+    return;
+  }
+  const { retryAfterSeconds } = refusal;
+  response
+    .writeHead(refusal.status, {
+      'content-type': 'application/json',
+      [HEADERS.outcome]: refusal.outcome,
+      ...(retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }),
+    })
+    .end(JSON.stringify(refusal.toBody()));
+}
--- /dev/null
+++ b/src/local/command.ts
@@ -0,0 +1,112 @@
+import { Command } from 'commander';
+import {
+  type Address,
+  SystemClock,
+  SystemRandom,
+  createLogger,
+  createSilentLogger,
+  messageOf,
+} from '../core';
+import { VERSION } from '../binary/version';
+import { LOCAL_KEY } from './configuration';
+import { runSession } from './session';
+import { type LocalSystem, startLocalSystem } from './system';
+
+interface LocalOptions {
+  readonly port?: number;
+  readonly dataFolder?: string;
+  readonly keep?: boolean;
+}
+
+const DEFAULT_PORT = 8080;
+
+/** Runs the command line of `martenbay-local`. */
+export async function runLocalCommand(): Promise<void> {
+  const program = new Command('martenbay-local')
+    .description('All roles and stand-ins for engines and services in one process, for trials.')
+    .version(VERSION);
+  program
+    .command('demo')
+    .description('run a program of several turns, show the decisions, and stop')
+    .option('--keep', 'go on serving afterwards')
+    .option('--port <number>', 'port for callers', Number)
+    .action(async (options: LocalOptions) => {
+      await demo(options);
+    });
+  program
+    .command('run', { isDefault: true })
+    .description('serve until stopped')
+    .option('--port <number>', 'port for callers', Number, DEFAULT_PORT)
+    .option(
+      '--data-folder <folder>',
+      'keep the durable state there; otherwise it ends with the process',
+    )
+    .action(async (options: LocalOptions) => {
+      const system = await start(options);
+      serveUntilStopped(system);
+    });
+  try {
+    await program.parseAsync();
+  } catch (error) {
+    process.stderr.write(`${messageOf(error)}\n`);
+    process.exitCode = 1;
+  }
+}
+
+async function demo(options: LocalOptions): Promise<void> {
+  const system = await start(options.keep === true ? { port: DEFAULT_PORT, ...options } : options);
+  await runSession({
+    entries: [system.entryUrl],
+    key: LOCAL_KEY,
+    write: (line) => process.stdout.write(`${line}\n`),
+  });
+  if (options.keep === true) {
+    serveUntilStopped(system);
+    return;
+  }
+  await system.lifeCycle.stop();
+  process.stdout.write('stopped cleanly\n');
+}
+
+/** Only the entry's lines are shown: they carry the decisions. */
+function start(options: LocalOptions): Promise<LocalSystem> {
+  const { port, dataFolder } = options;
+  const entryAddress: Address | undefined =
+    port === undefined ? undefined : { host: '127.0.0.1', port };
+  return startLocalSystem({
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    loggerFor: (role, host) =>
+      role === 'entry' ? createLogger({ role, host }) : createSilentLogger(),
+    ...(entryAddress === undefined ? {} : { entryAddress }),
+    ...(dataFolder === undefined ? {} : { dataFolder }),
+  });
+}
+
+function serveUntilStopped(system: LocalSystem): void {
+  process.stdout.write(`${usage(system.entryUrl)}\n`);
+  const stop = () => {
+    void system.lifeCycle.stop().then(() => {
+      process.stdout.write('stopped cleanly\n');
+      process.exit(0);
+    });
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+function usage(url: string): string {
+  return `
+Serving at ${url}; stop with Ctrl-C. Try:
+
+curl -s ${url}/v1/chat/completions -H 'Authorization: Bearer ${LOCAL_KEY}' -H 'Content-Type: application/json' -d '{"model":"stand-in","messages":[{"role":"user","content":"Hello"}]}'
+
+import OpenAI from 'openai';
+const client = new OpenAI({ baseURL: '${url}/v1', apiKey: '${LOCAL_KEY}' });
+const answer = await client.chat.completions.create({
+  model: 'stand-in',
+  messages: [{ role: 'user', content: 'Hello' }],
+});
+console.log(answer.choices[0].message.content);
+`;
+}
--- /dev/null
+++ b/src/operator/command.ts
@@ -0,0 +1,107 @@
+import { createHash } from 'node:crypto';
+import { Command, Option } from 'commander';
+import { VERSION } from '../binary/version';
+import { MartenbayError, messageOf } from '../core';
+import { ControlUnavailableError } from '../protocol';
+import { type ApplyOptions, type CommandOptions, apply, diff, validate } from './apply';
+import { OPERATOR_EXIT, type OperatorExit } from './exit';
+import { SECTIONS, type Section, get, status } from './read';
+
+const outputOption = () =>
+  new Option('--output <format>', 'how to print').choices(['table', 'json']).default('table');
+
+const settingsOption = () =>
+  new Option('--settings <file>', 'TOML file that names the control hosts and the credential')
+    .env('MARTENBAY_SETTINGS')
+    .makeOptionMandatory();
+
+const EXIT_HELP = `
+Exit codes: 0 done; 1 failed; 2 invalid command line or files; 3 refused, the number is taken or
+too low; 4 no control host answered; 5 in force, but not yet everywhere; 6 differences found.`;
+
+/** Builds the operators' command line; `finish` gets the exit code of the command that ran. */
+function buildCommand(finish: (code: OperatorExit) => void): Command {
+  const program = new Command('martenbay')
+    .description('Applies directories of declarative files, and reads back what is in force.')
+    .version(VERSION)
+    .addHelpText('after', EXIT_HELP)
+    .exitOverride((error) => {
+      process.exit(error.exitCode === 0 ? OPERATOR_EXIT.done : OPERATOR_EXIT.invalid);
+    });
+  program
+    .command('validate <directory>')
+    .description('check the files of a directory; needs no control host')
+    .addOption(outputOption())
+    .action((directory: string, options: Pick<CommandOptions, 'output'>) => {
+      finish(validate(directory, options.output));
+    });
+  program
+    .command('diff <directory>')
+    .description('compare a directory with what is in force')
+    .addOption(settingsOption())
+    .addOption(outputOption())
+    .action(async (directory: string, options: CommandOptions) => {
+      finish(await diff(directory, options));
+    });
+  program
+    .command('apply <directory>')
+    .description('put a directory in force as a whole')
+    .addOption(settingsOption())
+    .addOption(outputOption())
+    .option('--wait', 'return once every live process has it in force', false)
+    .option('--timeout <seconds>', 'longest wait', Number, 10)
+    .action(async (directory: string, options: ApplyOptions) => {
+      finish(await apply(directory, options));
+    });
+  program
+    .command('get')
+    .addArgument(new Command().createArgument('<section>').choices(SECTIONS))
+    .description('show a section of what is in force')
+    .addOption(settingsOption())
+    .addOption(outputOption())
+    .action(async (section: Section, options: CommandOptions) => {
+      finish(await get(section, options));
+    });
+  program
+    .command('status')
+    .description('show processes, targets, programs and what lags')
+    .addOption(settingsOption())
+    .addOption(outputOption())
+    .action(async (options: CommandOptions) => {
+      finish(await status(options));
+    });
+  program
+    .command('digest-key')
+    .description("read a caller's key from standard input and print the digest for a team's file")
+    .action(async () => {
+      finish(await digestKey());
+    });
+  return program;
+}
+
+async function digestKey(): Promise<OperatorExit> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of process.stdin as AsyncIterable<Buffer>) chunks.push(chunk);
+  const key = Buffer.concat(chunks).toString().trim();
+  process.stdout.write(`${createHash('sha256').update(key).digest('hex')}\n`);
+  return OPERATOR_EXIT.done;
+}
+
+/** Runs the operators' command line and sets the exit code. */
+export async function runOperatorCommand(): Promise<void> {
+  try {
+    await buildCommand((code) => {
+      process.exitCode = code;
+    }).parseAsync();
+  } catch (error) {
+    process.stderr.write(`${messageOf(error)}\n`);
+    process.exitCode = exitCodeOf(error);
+  }
+}
+
+function exitCodeOf(error: unknown): OperatorExit {
+  if (error instanceof ControlUnavailableError) {
+    return error.unauthorized ? OPERATOR_EXIT.refused : OPERATOR_EXIT.unavailable;
+  }
+  return error instanceof MartenbayError ? OPERATOR_EXIT.invalid : OPERATOR_EXIT.failed;
+}
--- /dev/null
+++ b/src/operator/index.ts
@@ -0,0 +1,2 @@
+export { runOperatorCommand } from './command';
+export { OPERATOR_EXIT, type OperatorExit } from './exit';
--- /dev/null
+++ b/src/operator/read.ts
@@ -0,0 +1,128 @@
+import { type Configuration, parseConfiguration } from '../configuration';
+import type { Status } from '../protocol';
+import type { CommandOptions } from './apply';
+import { OPERATOR_EXIT, type OperatorExit } from './exit';
+import { type Rows, writeOutput } from './output';
+import { withControl } from './session';
+
+/** Sections that `martenbay get` shows. */
+export const SECTIONS = ['teams', 'programs', 'services', 'pools', 'budgets', 'files'] as const;
+export type Section = (typeof SECTIONS)[number];
+
+/** `martenbay get SECTION`: what is in force. */
+export async function get(section: Section, options: CommandOptions): Promise<OperatorExit> {
+  const current = await withControl(options.settings, (client) =>
+    client.call((connection, signal) => connection.configuration.get.query(undefined, { signal })),
+  );
+  if (current.configuration === undefined) {
+    writeOutput(options.output, { number: 0 }, [[['no configuration was applied yet']]]);
+    return OPERATOR_EXIT.done;
+  }
+  const { number, digest, files } = current.configuration;
+  const configuration = parseConfiguration(files);
+  const content = section === 'files' ? files : configuration[section];
+  const head = [[`number ${number}, digest ${digest}`]];
+  writeOutput(options.output, { number, digest, [section]: content }, [
+    head,
+    sectionRows(section, configuration, files),
+  ]);
+  return OPERATOR_EXIT.done;
+}
+
+function sectionRows(
+  section: Section,
+  configuration: Configuration,
+  files: readonly { readonly name: string }[],
+): Rows {
+  switch (section) {
+    case 'teams':
+      return [
+        ['TEAM', 'KEYS', 'DEFAULT PROGRAM'],
+        ...configuration.teams.map((team) => [
+          team.name,
+          String(team['key-digests'].length),
+          team['default-program'],
+        ]),
+      ];
+    case 'programs':
+      return [
+        ['PROGRAM', 'TEAMS', 'BUDGET', 'TURNS', 'IDLE SECONDS'],
+        ...configuration.programs.map((kind) => [
+          kind.name,
+          kind.teams.join(','),
+          kind.budget,
+          String(kind['turn-limit']),
+          String(kind['idle-seconds']),
+        ]),
+      ];
+    case 'services':
+      return [
+        ['SERVICE', 'TYPE', 'ADOPTION', 'POOL', 'MODEL'],
+        ...configuration.services.map((service) => [
+          service.name,
+          service.type,
+          service.adoption,
+          service.pool ?? '-',
+          service.model ?? '-',
+        ]),
+      ];
+    case 'pools':
+      return [
+        ['POOL', 'TARGETS', 'CHECKS FENCING'],
+        ...configuration.pools.map((pool) => [
+          pool.name,
+          String(pool.targets.length),
+          String(pool['checks-fencing']),
+        ]),
+      ];
+    case 'budgets':
+      return [
+        ['BUDGET', 'TOKENS', 'CALLS'],
+        ...configuration.budgets.map((budget) => [
+          budget.name,
+          String(budget.tokens),
+          String(budget.calls),
+        ]),
+      ];
+    case 'files':
+      return [['FILE'], ...files.map((file) => [file.name])];
+  }
+}
+
+/** `martenbay status`: what runs where. */
+export async function status(options: CommandOptions): Promise<OperatorExit> {
+  const current = await withControl(options.settings, (client) =>
+    client.call((connection, signal) => connection.status.query(undefined, { signal })),
+  );
+  writeOutput(options.output, current, statusTables(current));
+  return OPERATOR_EXIT.done;
+}
+
+function statusTables(current: Status): readonly Rows[] {
+  const { leader, term, appliedIndex, configuration, lagging, pendingOrders } = current;
+  const summary: Rows = [
+    ['leader', `${leader} (term ${term}, index ${appliedIndex})`],
+    ['configuration', `${configuration.number} ${configuration.digest.slice(0, 12)}`],
+    ['lagging', lagging.length === 0 ? 'none' : lagging.join(', ')],
+    ['orders waiting', String(pendingOrders)],
+  ];
+  const nodes = current.nodes.map((node) => [
+    node.name,
+    node.kind,
+    node.state,
+    String(node.configurationNumber),
+    node.target ?? '-',
+    node.load === undefined ? '-' : `${node.load.running}+${node.load.waiting}`,
+  ]);
+  const teams = current.teams.map((team) => [
+    team.team,
+    String(team.livePrograms),
+    String(team.endedPrograms),
+    String(team.nearBudget),
+  ]);
+  return [
+    summary,
+    [['PROCESS', 'KIND', 'STATE', 'CONFIGURATION', 'TARGET', 'RUNNING+WAITING'], ...nodes],
+    [['TEAM', 'LIVE', 'ENDED', 'NEAR BUDGET'], ...teams],
+  ];
+}
--- /dev/null
+++ b/src/protocol/control-client.ts
@@ -0,0 +1,170 @@
+import {
+  TRPCClientError,
+  type TRPCClient,
+  type TRPCWebSocketClient,
+  createTRPCClient,
+  createWSClient,
+  wsLink,
+} from '@trpc/client';
+import WebSocket from 'ws';
+import {
+  type Address,
+  type Clock,
+  type Component,
+  MartenbayError,
+  delay,
+  formatAddress,
+  messageOf,
+} from '../core';
+import type { ControlRouter } from './router';
+import type { NotLeader } from './schemas';
+
+/** The control hosts gave no answer. */
+export class ControlUnavailableError extends MartenbayError {
+  /** Whether the reason is a refused credential, which no retry mends. */
+  readonly unauthorized: boolean;
+
+  constructor(message: string, unauthorized: boolean, cause?: unknown) {
+    super([{ code: 'control_unavailable', path: [], message }], { cause });
+    this.unauthorized = unauthorized;
+  }
+}
+
+export interface ControlMember {
+  readonly name: string;
+  readonly address: Address;
+}
+
+export interface ControlClientOptions {
+  readonly members: readonly ControlMember[];
+  readonly credential: string;
+  readonly clock: Clock;
+  /** Longest wait for one member's answer, in milliseconds. */
+  readonly attemptMilliseconds?: number;
+}
+
+export type ControlConnection = TRPCClient<ControlRouter>;
+
+interface MemberConnection {
+  readonly name: string;
+  readonly socket: TRPCWebSocketClient;
+  readonly connection: ControlConnection;
+}
+
+/** How long to wait for an answer in all, and from one member; milliseconds. */
+export interface CallLimits {
+  readonly deadlineMilliseconds?: number;
+  readonly attemptMilliseconds?: number;
+}
+
+const RECONNECT_MILLISECONDS = 50;
+const RETRY_MILLISECONDS = 25;
+
+/**
+ * Calls whichever control host leads. A call is repeated at other members until one answers or
+ * its deadline passes; every procedure gives a repeated call the same answer.
+ */
+export class ControlClient implements Component {
+  readonly #clock: Clock;
+  readonly #attemptMilliseconds: number;
+  readonly #members: readonly MemberConnection[];
+  readonly #attempts = new Set<AbortController>();
+  #current = 0;
+  #stopped = false;
+
+  constructor(options: ControlClientOptions) {
+    this.#clock = options.clock;
+    this.#attemptMilliseconds = options.attemptMilliseconds ?? 2000;
+    this.#members = options.members.map(({ name, address }) => {
+      const socket = createWSClient({
+        url: `ws://${formatAddress(address)}`,
+        WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
+        connectionParams: { credential: options.credential },
+        retryDelayMs: () => RECONNECT_MILLISECONDS,
+        lazy: { enabled: true, closeMs: 2_000_000_000 },
+      });
+      return {
+        name,
+        socket,
+        connection: createTRPCClient<ControlRouter>({ links: [wsLink({ client: socket })] }),
+      };
+    });
+  }
+
+  /** Gives up the calls under way and closes the connections. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    for (const attempt of this.#attempts) attempt.abort(new Error('the client is stopping'));
+    await Promise.all(this.#members.map((member) => member.socket.close()));
+  }
+
+  /** Connection to one member, whether it leads or not. */
+  member(name: string): ControlConnection | undefined {
+    return this.#members.find((member) => member.name === name)?.connection;
+  }
+
+  /**
+   * Runs an operation at the leader.
+   *
+   * @throws {@link ControlUnavailableError} when no member answered in time
+   */
+  async call<T extends { readonly outcome: string }>(
+    operate: (connection: ControlConnection, signal: AbortSignal) => Promise<T | NotLeader>,
+    limits: CallLimits = {},
+  ): Promise<Exclude<T, NotLeader>> {
+    const { deadlineMilliseconds = 10_000, attemptMilliseconds = this.#attemptMilliseconds } =
+      limits;
+    const deadline = this.#clock.monotonic() + deadlineMilliseconds;
+    let failure: unknown = new Error('no control host leads');
+    for (;;) {
+      const remaining = deadline - this.#clock.monotonic();
+      if (remaining <= 0 || this.#stopped) break;
+      const member = this.#members[this.#current % this.#members.length];
+      if (member === undefined) break;
+      try {
+        const limit = Math.min(remaining, attemptMilliseconds);
+        const answer = await this.#attempt(member, operate, limit);
+        if (answer.outcome !== 'not-leader') return answer as Exclude<T, NotLeader>;
+        this.#follow((answer as NotLeader).leader);
+      } catch (error) {
+        if (isUnauthorized(error)) {
+          throw new ControlUnavailableError('the control host refused the credential', true, error);
+        }
+        failure = error;
+        this.#current += 1;
+      }
+      await delay(this.#clock, RETRY_MILLISECONDS);
+    }
+    const message = `no control host answered in time: ${messageOf(failure)}`;
+    throw new ControlUnavailableError(message, false, failure);
+  }
+
+  async #attempt<T>(
+    member: MemberConnection,
+    operate: (connection: ControlConnection, signal: AbortSignal) => Promise<T>,
+    milliseconds: number,
+  ): Promise<T> {
+    const controller = new AbortController();
+    this.#attempts.add(controller);
+    const cancel = this.#clock.after(milliseconds, () => {
+      controller.abort(new Error(`${member.name} did not answer in ${milliseconds} ms`));
+    });
+    try {
+      return await operate(member.connection, controller.signal);
+    } finally {
+      cancel();
+      this.#attempts.delete(controller);
+    }
+  }
+
+  #follow(leader: string | undefined): void {
+    const index = this.#members.findIndex((member) => member.name === leader);
+    this.#current = index >= 0 ? index : this.#current + 1;
+  }
+}
+
+function isUnauthorized(error: unknown): boolean {
+  if (!(error instanceof TRPCClientError)) return false;
+  const data = error.data as { readonly code?: string } | undefined;
+  return data?.code === 'UNAUTHORIZED';
+}
--- /dev/null
+++ b/src/protocol/control-listener.ts
@@ -0,0 +1,50 @@
+import { applyWSSHandler } from '@trpc/server/adapters/ws';
+import { WebSocketServer } from 'ws';
+import { type Component, equalSecrets } from '../core';
+import type { HttpListener } from './listen';
+import { type CallerContext, type ControlApi, createControlRouter } from './router';
+
+/** Largest message between processes, in bytes. */
+export const MESSAGE_LIMIT_BYTES = 32 * 1024 * 1024;
+
+export interface ControlListenerOptions {
+  readonly listener: HttpListener;
+  readonly api: ControlApi;
+  readonly processCredential: string;
+  readonly operatorCredential: string;
+}
+
+/** Serves the control router over WebSocket on a process's HTTP server. */
+export class ControlListener implements Component {
+  readonly #options: ControlListenerOptions;
+  readonly #sockets: WebSocketServer;
+
+  constructor(options: ControlListenerOptions) {
+    this.#options = options;
+    this.#sockets = new WebSocketServer({
+      server: options.listener.server,
+      maxPayload: MESSAGE_LIMIT_BYTES,
+      perMessageDeflate: false,
+    });
+  }
+
+  start(): void {
+    applyWSSHandler({
+      wss: this.#sockets,
+      router: createControlRouter(this.#options.api),
+      createContext: ({ info }) => this.#identify(info.connectionParams?.['credential']),
+    });
+  }
+
+  stop(): void {
+    for (const socket of this.#sockets.clients) socket.terminate();
+    this.#sockets.close();
+  }
+
+  #identify(credential: string | undefined): CallerContext {
+    if (credential === undefined) return { caller: undefined };
+    if (equalSecrets(credential, this.#options.processCredential)) return { caller: 'process' };
+    if (equalSecrets(credential, this.#options.operatorCredential)) return { caller: 'operator' };
+    return { caller: undefined };
+  }
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,29 @@
+import { AffinityPolicy } from './affinity';
+import { LeastLoadPolicy } from './least-load';
+import type { RoutingPolicy } from './policy';
+import { RoundRobinPolicy } from './round-robin';
+
+export { AffinityPolicy, type AffinityOptions } from './affinity';
+export { LeastLoadPolicy } from './least-load';
+export {
+  type Candidate,
+  type RoutingChoice,
+  type RoutingPolicy,
+  type RoutingRequest,
+  type ScoredCandidate,
+} from './policy';
+export { RoundRobinPolicy } from './round-robin';
+
+export type PolicyName = 'round-robin' | 'least-load' | 'affinity';
+
+/** Creates the policy that the settings name. */
+export function createPolicy(name: PolicyName): RoutingPolicy {
+  switch (name) {
+    case 'round-robin':
+      return new RoundRobinPolicy();
+    case 'least-load':
+      return new LeastLoadPolicy();
+    case 'affinity':
+      return new AffinityPolicy();
+  }
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,11 @@
+export { SettingsError, loadSettings, safeLoadSettings, safeParseSettings } from './load';
+export {
+  type ClusterSettings,
+  type ControlSettings,
+  type EntrySettings,
+  type HostSettings,
+  type SidecarSettings,
+  controlSettingsSchema,
+  entrySettingsSchema,
+  sidecarSettingsSchema,
+} from './schema';
--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,44 @@
+import { readFileSync } from 'node:fs';
+import { Err, Ok, type Result } from 'ts-results';
+import type * as z from 'zod';
+import { MartenbayError, issuesOf, messageOf, parseDocument } from '../core';
+
+/** A process's settings file can't be read or is not valid. */
+export class SettingsError extends MartenbayError {}
+
+/** Checks settings text against a schema; the error carries every issue at once. */
+export function safeParseSettings<T extends z.ZodType>(
+  schema: T,
+  file: string,
+  text: string,
+): Result<z.output<T>, SettingsError> {
+  const document = parseDocument(file, text);
+  if (document.issues.length > 0) return Err(new SettingsError(document.issues));
+  const parsed = schema.safeParse(document.value);
+  if (parsed.success) return Ok(parsed.data);
+  return Err(new SettingsError(issuesOf(file, parsed.error, document.value)));
+}
+
+/** Reads and checks a settings file. */
+export function safeLoadSettings<T extends z.ZodType>(
+  schema: T,
+  file: string,
+): Result<z.output<T>, SettingsError> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const message = `can't be read; check the path and its permissions: ${messageOf(error)}`;
+    return Err(
+      new SettingsError([{ code: 'unreadable', path: [file], message }], { cause: error }),
+    );
+  }
+  return safeParseSettings(schema, file, text);
+}
+
+/** The throwing form of {@link safeLoadSettings}. */
+export function loadSettings<T extends z.ZodType>(schema: T, file: string): z.output<T> {
+  const result = safeLoadSettings(schema, file);
+  if (result.err) throw result.val;
+  return result.val;
+}
--- /dev/null
+++ b/src/sidecar/index.ts
@@ -0,0 +1,1 @@
+export { type SidecarProcessOptions, createSidecarProcess } from './process';
--- /dev/null
+++ b/src/sidecar/process.ts
@@ -0,0 +1,155 @@
+import * as z from 'zod';
+import {
+  type Clock,
+  type Component,
+  LifeCycle,
+  type Logger,
+  Metrics,
+  type RandomSource,
+  delay,
+  messageOf,
+  repeat,
+} from '../core';
+import { ConfigurationInForce } from '../configuration';
+import {
+  ControlClient,
+  HttpListener,
+  type Load,
+  Presence,
+  type WatchChanges,
+  answerHealth,
+} from '../protocol';
+import type { SidecarSettings } from '../settings';
+import { Gateway } from './gateway';
+import { OrderRunner } from './orders';
+import { TargetClient } from './target-client';
+
+export interface SidecarProcessOptions {
+  readonly settings: SidecarSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+const loadSchema = z.object({ running: z.int(), waiting: z.int() });
+
+/** Pause before orders that failed are asked for again; milliseconds. */
+const ORDER_RETRY_MILLISECONDS = 500;
+
+/** Wires up the sidecar of one target; the life cycle that is returned starts and stops it. */
+export function createSidecarProcess(options: SidecarProcessOptions): LifeCycle {
+  const { settings, clock, random, logger } = options;
+  const { host, cluster, sidecar } = settings;
+  const credential = cluster['process-credential'];
+  const incarnation = random.hex(8);
+  const metrics = new Metrics();
+  const configuration = new ConfigurationInForce();
+  const targetClient = new TargetClient(sidecar['target-address']);
+  const control = new ControlClient({ members: cluster.control, credential, clock });
+  let load: Load = { running: 0, waiting: 0 };
+  let leaving = false;
+
+  const gateway = new Gateway({
+    client: targetClient,
+    incarnation,
+    credential,
+    callsAtOnce: sidecar['calls-at-once'],
+    logger,
+    metrics,
+    load: () => load,
+  });
+  metrics.gauge('calls_running', () => gateway.running);
+  const orders = new OrderRunner({
+    client: targetClient,
+    logger,
+    confirm: async (done) => {
+      await control.call((connection, signal) =>
+        connection.nodes.confirmOrders.mutate({ orders: [...done] }, { signal }),
+      );
+    },
+  });
+  const onChanges = async (changes: WatchChanges) => {
+    if (changes.configuration !== undefined) {
+      const { number, files } = changes.configuration;
+      const outcome = configuration.adopt(number, files);
+      logger.info({ event: 'configuration', outcome, number });
+      void presence.announce();
+    }
+    if (changes.orders.length === 0) return;
+    const complete = await orders.run(changes.orders, changes.term);
+    if (!complete) await delay(clock, ORDER_RETRY_MILLISECONDS);
+  };
+  const presence = new Presence({
+    client: control,
+    clock,
+    logger,
+    heartbeatMilliseconds: sidecar['heartbeat-milliseconds'],
+    describe: () => ({
+      kind: 'sidecar',
+      name: host.name,
+      incarnation,
+      state: leaving ? 'leaving' : 'serving',
+      configurationNumber: configuration.number,
+      target: sidecar.target,
+      load,
+    }),
+    position: () => ({ configurationNumber: configuration.number, target: sidecar.target }),
+    onChanges,
+  });
+  const listener = new HttpListener({
+    address: host.address,
+    handle: (request, response) => {
+      const notReady = () => (leaving ? 'the target is leaving' : undefined);
+      if (answerHealth({ notReady, metrics }, request, response)) return;
+      gateway.handle(request, response);
+    },
+  });
+
+  const lifeCycle = new LifeCycle();
+  lifeCycle.add('target-client', targetClient);
+  lifeCycle.add('control-client', control);
+  lifeCycle.add('listener', listener);
+  lifeCycle.add(
+    'load',
+    createLoadReader(clock, sidecar['load-milliseconds'], async () => {
+      load = await readLoad(targetClient, gateway, logger);
+    }),
+  );
+  lifeCycle.add('presence', presence);
+  lifeCycle.add('drain', {
+    stop: async () => {
+      leaving = true;
+      const drained = gateway.drain();
+      await presence.announce();
+      await drained;
+    },
+  });
+  return lifeCycle;
+}
+
+function createLoadReader(
+  clock: Clock,
+  milliseconds: number,
+  read: () => Promise<void>,
+): Component {
+  let cancel: () => void = () => undefined;
+  return {
+    start: () => {
+      cancel = repeat(clock, milliseconds, read);
+    },
+    stop: () => {
+      cancel();
+    },
+  };
+}
+
+/** Reads the target's own load; a target that reports none has that of the calls under way. */
+async function readLoad(client: TargetClient, gateway: Gateway, logger: Logger): Promise<Load> {
+  try {
+    const parsed = loadSchema.safeParse(await client.json('GET', '/load'));
+    if (parsed.success) return parsed.data;
+  } catch (error) {
+    logger.debug({ event: 'load-unreadable', error: messageOf(error) });
+  }
+  return { running: gateway.running, waiting: 0 };
+}
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,44 @@
+export {
+  type AbandonStep,
+  type AcceptConfiguration,
+  type BeginStep,
+  type Command,
+  type CompleteStep,
+  type CreateProgram,
+  type EndProgram,
+  type ResolveStep,
+  abandonStepSchema,
+  acceptConfigurationSchema,
+  beginStepSchema,
+  completeStepSchema,
+  createProgramSchema,
+  endProgramSchema,
+  resolveStepSchema,
+} from './commands';
+export { type CommandResults, ProgramStateMachine } from './machine';
+export {
+  type AcceptOutcome,
+  type BeginOutcome,
+  type CompleteOutcome,
+  type Created,
+  type Ended,
+  type ProgramView,
+  type Refused,
+  type RunStep,
+  viewProgram,
+} from './outcomes';
+export {
+  type Answer,
+  type CallAnswer,
+  type Claim,
+  type Message,
+  type Order,
+  type Program,
+  type RunningStep,
+  type TurnAnswer,
+  type Usage,
+  answerSchema,
+  orderSchema,
+} from './records';
+export { evaluateBegin, sequenceOf } from './steps';
+export type { AcceptedConfiguration, Tables } from './tables';
--- /dev/null
+++ b/src/state/machine.ts
@@ -0,0 +1,82 @@
+import type { StateMachine } from '../replication';
+import { acceptConfiguration } from './accept';
+import { type Command, commandSchema } from './commands';
+import type {
+  AcceptOutcome,
+  BeginOutcome,
+  CompleteOutcome,
+  Created,
+  Ended,
+  Refused,
+} from './outcomes';
+import { createProgram, endProgram, forgetPrograms } from './programs';
+import { abandonStep, beginStep, completeStep, resolveStep } from './steps';
+import { Tables } from './tables';
+
+/** A command that has nothing to tell. */
+export interface Done {
+  readonly outcome: 'done';
+}
+
+const DONE: Done = { outcome: 'done' };
+
+/** Result of each kind of command. */
+export interface CommandResults {
+  readonly 'create-program': Created | Refused;
+  readonly 'begin-step': BeginOutcome;
+  readonly 'complete-step': CompleteOutcome;
+  readonly 'abandon-step': Done;
+  readonly 'resolve-step': Done;
+  readonly 'end-program': Ended | Refused;
+  readonly 'accept-configuration': AcceptOutcome;
+  readonly 'forget-programs': Done;
+  readonly 'confirm-orders': Done;
+}
+
+export type CommandResult = CommandResults[Command['kind']];
+
+/** The state that the replicated log drives: equal logs give equal states. */
+export class ProgramStateMachine implements StateMachine<CommandResult> {
+  readonly tables = new Tables();
+  readonly #onApplied: (command: Command) => void;
+
+  /** `onApplied` runs after each command, at every member. */
+  constructor(onApplied: (command: Command) => void = () => undefined) {
+    this.#onApplied = onApplied;
+  }
+
+  apply(text: string, index: number): CommandResult {
+    const command = commandSchema.parse(JSON.parse(text));
+    const result = this.#execute(command, index);
+    this.#onApplied(command);
+    return result;
+  }
+
+  #execute(command: Command, index: number): CommandResult {
+    const { tables } = this;
+    switch (command.kind) {
+      case 'create-program':
+        return createProgram(tables, command.input, command.at);
+      case 'begin-step':
+        return beginStep(tables, command.input, command.displaces, command.at);
+      case 'complete-step':
+        return completeStep(tables, command.input, { at: command.at, index });
+      case 'abandon-step':
+        abandonStep(tables, command.input, command.at);
+        return DONE;
+      case 'resolve-step':
+        resolveStep(tables, command.input, command.at);
+        return DONE;
+      case 'end-program':
+        return endProgram(tables, command.input, { at: command.at, index });
+      case 'accept-configuration':
+        return acceptConfiguration(tables, command.input);
+      case 'forget-programs':
+        forgetPrograms(tables, command.programs);
+        return DONE;
+      case 'confirm-orders':
+        for (const order of command.orders) tables.orders.delete(order);
+        return DONE;
+    }
+  }
+}
--- /dev/null
+++ b/src/state/programs.ts
@@ -0,0 +1,144 @@
+import type { CreateProgram, EndProgram } from './commands';
+import { openSpending, settle } from './budgets';
+import { type Created, type Ended, type Refused, refuse, viewProgram } from './outcomes';
+import type { EndReason, Program } from './records';
+import type { Tables } from './tables';
+
+const MILLISECONDS = 1000;
+
+/** The log index of a command and its wall time in milliseconds. */
+export interface Applied {
+  readonly index: number;
+  readonly at: number;
+}
+
+/** Creates a program; a repeated command with the same id gets the same answer. */
+export function createProgram(tables: Tables, input: CreateProgram, at: number): Created | Refused {
+  const existing = tables.programs.get(input.id);
+  if (existing !== undefined) return describeExisting(tables, existing, input);
+  const configuration = tables.accepted?.configuration;
+  if (configuration === undefined) {
+    return refuse('no-configuration', 'no configuration was applied yet');
+  }
+  const team = configuration.teams.find((entry) => entry.name === input.team);
+  const kindName = input.kind ?? team?.['default-program'];
+  const kind = configuration.programs.find((entry) => entry.name === kindName);
+  const budget = configuration.budgets.find((entry) => entry.name === kind?.budget);
+  if (kind === undefined || budget === undefined || !kind.teams.includes(input.team)) {
+    return refuse('unknown-kind', `team "${input.team}" has no program kind "${kindName ?? ''}"`);
+  }
+  const parent = input.parent === undefined ? undefined : tables.programs.get(input.parent);
+  const missing = input.parent !== undefined && parent?.team !== input.team;
+  if (missing) return refuse('unknown-parent', `no program "${input.parent ?? ''}"`);
+  if (parent?.endReason !== undefined) {
+    return refuse('program-ended', `parent "${parent.id}" ended: ${parent.endReason}`);
+  }
+  const deadlineAt = at + kind['deadline-seconds'] * MILLISECONDS;
+  const program: Program = {
+    id: input.id,
+    root: parent?.root ?? input.id,
+    parent: parent?.id,
+    team: input.team,
+    kind: kind.name,
+    services: kind.services,
+    turnLimit: kind['turn-limit'],
+    idleMilliseconds: kind['idle-seconds'] * MILLISECONDS,
+    createdAt: at,
+    deadlineAt: Math.min(deadlineAt, parent?.deadlineAt ?? Infinity),
+    lastActivityAt: at,
+    endReason: undefined,
+    endedAt: undefined,
+    messages: [],
+    digests: [],
+    contextTokens: 0,
+    steps: new Map(),
+    nextSequence: 1,
+    keys: new Map(),
+    lastTarget: undefined,
+    holders: [],
+  };
+  tables.put(program);
+  if (parent === undefined) tables.spending.set(program.id, openSpending(budget));
+  else
+    tables.children.set(
+      parent.id,
+      new Set([...(tables.children.get(parent.id) ?? []), program.id]),
+    );
+  return { outcome: 'created', program: viewProgram(program, tables.spendingOf(program)) };
+}
+
+function describeExisting(
+  tables: Tables,
+  program: Program,
+  input: CreateProgram,
+): Created | Refused {
+  const same =
+    program.team === input.team &&
+    program.parent === input.parent &&
+    (input.kind === undefined || input.kind === program.kind);
+  if (!same) return refuse('program-exists', `program id "${input.id}" is taken`);
+  return { outcome: 'created', program: viewProgram(program, tables.spendingOf(program)) };
+}
+
+/** Ends a program and its sub-agents, and orders its cache released. */
+export function endProgram(tables: Tables, input: EndProgram, applied: Applied): Ended | Refused {
+  const program = tables.programs.get(input.program);
+  if (program === undefined) return refuse('unknown-program', `no program "${input.program}"`);
+  if (program.endReason === undefined) endOne(tables, program, input.reason, applied);
+  const ended = tables.programs.get(input.program) ?? program;
+  return { outcome: 'ended', program: viewProgram(ended, tables.spendingOf(ended)) };
+}
+
+/** Ends one live program, its sub-agents first. */
+export function endOne(
+  tables: Tables,
+  program: Program,
+  reason: EndReason,
+  applied: Applied,
+): void {
+  for (const childId of tables.children.get(program.id) ?? []) {
+    const child = tables.programs.get(childId);
+    if (child?.endReason === undefined && child !== undefined) {
+      endOne(tables, child, 'parent-ended', applied);
+    }
+  }
+  tables.children.delete(program.id);
+  releaseRunningStep(tables, program);
+  for (const target of program.holders) {
+    const id = `${applied.index}-${program.id}-${target}`;
+    tables.orders.set(id, { id, target, kind: 'release-cache', program: program.id });
+  }
+  const steps = new Map([...program.steps].filter(([, step]) => step.state !== 'running'));
+  tables.put({
+    ...program,
+    endReason: reason,
+    endedAt: applied.at,
+    steps,
+    messages: [],
+    digests: [],
+    holders: [],
+  });
+  const siblings = program.parent === undefined ? undefined : tables.children.get(program.parent);
+  if (program.parent !== undefined && siblings !== undefined) {
+    const remaining = [...siblings].filter((id) => id !== program.id);
+    tables.children.set(program.parent, new Set(remaining));
+  }
+}
+
+/** What a step under way reserved counts as spent: its engine may have used all of it. */
+function releaseRunningStep(tables: Tables, program: Program): void {
+  const running = [...program.steps.values()].find((step) => step.state === 'running');
+  if (running === undefined) return;
+  const { reservedTokens } = running;
+  const spending = settle(tables.spendingOf(program), reservedTokens, reservedTokens, 1);
+  tables.spending.set(program.root, spending);
+}
+
+/** Drops ended programs and their answers, with the sub-agents of each; a live one stays. */
+export function forgetPrograms(tables: Tables, ids: readonly string[]): void {
+  const ended = new Set(ids.filter((id) => tables.programs.get(id)?.endReason !== undefined));
+  for (const [id, program] of tables.programs) {
+    if (ended.has(id) || ended.has(program.root)) tables.programs.delete(id);
+  }
+  for (const id of ended) tables.spending.delete(id);
+}
--- /dev/null
+++ b/src/storage/index.ts
@@ -0,0 +1,2 @@
+export { StorageError } from './errors';
+export { FileRecordStore, type RecordStore } from './record-file';
--- /dev/null
+++ b/stand-ins/index.ts
@@ -0,0 +1,5 @@
+export { EngineServer } from './engine/server';
+export { type EngineSettings, engineSettingsSchema } from './engine/settings';
+export { HostList, type HostsSettings, hostsSettingsSchema } from './hosts';
+export { PlainServer, type PlainSettings, plainSettingsSchema } from './plain';
+export { WeightStore, type WeightsSettings, weightsSettingsSchema } from './weights';
--- /dev/null
+++ b/stand-ins/weights.ts
@@ -0,0 +1,39 @@
+import * as z from 'zod';
+import { type Clock, type Component, addressSchema } from '../src/core';
+import { StandInServer, sendJson } from './http';
+
+/** Settings of the stand-in weight store. */
+export const weightsSettingsSchema = z.strictObject({
+  address: addressSchema,
+  /** Downloads that may begin in one second. */
+  'downloads-per-second': z.number().positive().default(2),
+});
+export type WeightsSettings = Readonly<z.output<typeof weightsSettingsSchema>>;
+
+/** A stand-in for the store of model weights: `GET /weights/{name}`, at a limited rate. */
+export class WeightStore implements Component {
+  readonly #server: StandInServer;
+
+  constructor(settings: WeightsSettings, clock: Clock) {
+    const interval = 1000 / settings['downloads-per-second'];
+    let nextAt = 0;
+    this.#server = new StandInServer(settings.address, (request, response) => {
+      const now = clock.monotonic();
+      if (now < nextAt) {
+        response.setHeader('retry-after', String(Math.ceil((nextAt - now) / 1000)));
+        sendJson(response, 429, { error: 'too many downloads' });
+        return;
+      }
+      nextAt = now + interval;
+      sendJson(response, 200, { weights: (request.url ?? '').split('/').at(-1) });
+    });
+  }
+
+  start(): Promise<void> {
+    return this.#server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.#server.stop();
+  }
+}
