--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,16 +1,24 @@
 import { Command } from 'commander';
 import { benchFootprint } from './footprint';
-import { benchPath } from './path';
+import { benchLink } from './link';
+import { type PathOptions, benchPath } from './path';
 
 const DEFAULT_CALLS = 1000;
 
+/** The numbers given on the command line take the place of the default ones. */
+function parseNumbers(text: string): readonly number[] {
+  return text.split(',').map(Number);
+}
+
 const program = new Command('bench').description('Measurements; each prints one JSON line.');
 program
   .command('path')
   .description('latency through martenbay beside the stand-in alone')
   .option('--calls <number>', 'calls of each kind', Number, DEFAULT_CALLS)
-  .action(async (options: { readonly calls: number }) => {
-    await benchPath(options.calls);
+  .option('--kind <text>', 'only kinds of call whose names contain it', '')
+  .option('--at-once <numbers>', 'calls at a time', parseNumbers, [1, 64])
+  .action(async (options: PathOptions) => {
+    await benchPath(options);
   });
 program
   .command('footprint')
@@ -18,4 +26,11 @@
   .action(async () => {
     await benchFootprint();
   });
+program
+  .command('link')
+  .description('cost of one tRPC call by each link')
+  .option('--calls <number>', 'calls by each link', Number, DEFAULT_CALLS)
+  .action(async (options: { readonly calls: number }) => {
+    await benchLink(options.calls);
+  });
 void program.parseAsync();
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -47,7 +47,6 @@
   },
 ];
 
-const AT_ONCE = [1, 64] as const;
 const WARM_UP_CALLS = 200;
 
 const NO_ENGINE_TIME = {
@@ -57,8 +56,17 @@
   'batch-limit': 128,
 };
 
+/** Which of the measurements to make. */
+export interface PathOptions {
+  readonly calls: number;
+  /** Part of the names of the kinds of call. */
+  readonly kind: string;
+  readonly atOnce: readonly number[];
+}
+
 /** Latency through martenbay beside that of the stand-in alone, in one run. */
-export async function benchPath(calls: number): Promise<void> {
+export async function benchPath(options: PathOptions): Promise<void> {
+  const { calls } = options;
   const system = await SeparateSystem.start({
     entries: 1,
     engines: 1,
@@ -66,8 +74,8 @@
   });
   const agent = new Agent({ connections: 128 });
   const results: object[] = [];
-  for (const kind of KINDS) {
-    for (const atOnce of AT_ONCE) {
+  for (const kind of KINDS.filter(({ name }) => name.includes(options.kind))) {
+    for (const atOnce of options.atOnce) {
       await measure(system, agent, kind, atOnce, WARM_UP_CALLS);
       results.push(await measure(system, agent, kind, atOnce, calls));
     }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,7 +6,7 @@
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
 
 // Heap limits of the small processes; docs/FOOTPRINT.md has the measurement.
-const SMALL = '--max-semi-space-size=1 --max-old-space-size=48';
+const SMALL = '--max-semi-space-size=1 --max-old-space-size=48 --v8-pool-size=0 --no-opt';
 
 const BINARIES = [
   { name: 'martenbay', entry: 'src/binary/operator.ts' },
@@ -27,6 +27,7 @@
       entryPoints: [entry],
       outfile,
       bundle: true,
+      minifySyntax: true,
       platform: 'node',
       target: 'node20',
       format: 'cjs',
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -8,6 +8,7 @@
   messageOf,
   repeat,
 } from '../core';
+import { LatencyHistograms } from '../core/latency';
 import { ControlClient, HttpListener, answerHealth } from '../protocol';
 import { ControlListener } from '../protocol/control-listener';
 import { ReplicatedLog } from '../replication';
@@ -35,7 +36,7 @@
 export function createControlProcess(options: ControlProcessOptions): LifeCycle {
   const { settings, clock, random, logger } = options;
   const { host, cluster, control } = settings;
-  const metrics = new Metrics();
+  const metrics = new Metrics(new LatencyHistograms());
   const notifier = new Notifier(clock);
   const registry = new NodeRegistry(control['session-milliseconds']);
   const machine = new ProgramStateMachine((command) => {
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -1,15 +1,21 @@
-import { type Histogram, build } from 'hdr-histogram-js';
-
-/** Highest latency told apart, in microseconds: ten minutes. */
-const HIGHEST_MICROSECONDS = 600_000_000;
-
-const QUANTILES = [50, 95, 99] as const;
+/** Keeps durations by name. */
+export interface LatencyRecorder {
+  /** Records a duration in milliseconds. */
+  observe(name: string, milliseconds: number): void;
+  /** Lines in the Prometheus text format, durations in seconds. */
+  render(): readonly string[];
+}
 
-/** Counters, gauges and latency histograms of one process, rendered for `/metrics`. */
+/** Counters, gauges and latencies of one process, rendered for `/metrics`. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
   readonly #gauges = new Map<string, () => number>();
-  readonly #histograms = new Map<string, Histogram>();
+  readonly #latencies: LatencyRecorder | undefined;
+
+  /** Without a recorder, durations are not kept. */
+  constructor(latencies?: LatencyRecorder) {
+    this.#latencies = latencies;
+  }
 
   /** Adds to a counter. The name may carry labels, as in `calls_total{outcome="ok"}`. */
   count(name: string, amount = 1): void {
@@ -23,36 +29,13 @@
 
   /** Records a duration in milliseconds. */
   observe(name: string, milliseconds: number): void {
-    const microseconds = Math.min(
-      Math.max(1, Math.round(milliseconds * 1000)),
-      HIGHEST_MICROSECONDS,
-    );
-    this.#histogram(name).recordValue(microseconds);
+    this.#latencies?.observe(name, milliseconds);
   }
 
-  /** Renders everything in the Prometheus text format, durations in seconds. */
+  /** Renders everything in the Prometheus text format. */
   render(): string {
     const counters = [...this.#counters].map(([name, value]) => `martenbay_${name} ${value}`);
     const gauges = [...this.#gauges].map(([name, read]) => `martenbay_${name} ${read()}`);
-    const quantiles = [...this.#histograms].flatMap(([name, histogram]) => [
-      ...QUANTILES.map(
-        (quantile) =>
-          `martenbay_${name}_seconds{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile) / 1e6}`,
-      ),
-      `martenbay_${name}_seconds_count ${histogram.totalCount}`,
-    ]);
-    return [...counters, ...gauges, ...quantiles, ''].join('\n');
-  }
-
-  #histogram(name: string): Histogram {
-    const existing = this.#histograms.get(name);
-    if (existing !== undefined) return existing;
-    const created = build({
-      lowestDiscernibleValue: 1,
-      highestTrackableValue: HIGHEST_MICROSECONDS,
-      numberOfSignificantValueDigits: 2,
-    });
-    this.#histograms.set(name, created);
-    return created;
+    return [...counters, ...gauges, ...(this.#latencies?.render() ?? []), ''].join('\n');
   }
 }
--- a/src/entry/process.ts
+++ b/src/entry/process.ts
@@ -1,5 +1,6 @@
 import { ConfigurationInForce } from '../configuration';
 import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource } from '../core';
+import { LatencyHistograms } from '../core/latency';
 import { ControlClient, HttpListener, Presence, type WatchChanges } from '../protocol';
 import { createPolicy } from '../routing';
 import type { EntrySettings } from '../settings';
@@ -21,7 +22,7 @@
   const { host, cluster, entry } = settings;
   const credential = cluster['process-credential'];
   const incarnation = random.hex(8);
-  const metrics = new Metrics();
+  const metrics = new Metrics(new LatencyHistograms());
   const configuration = new ConfigurationInForce();
   const directory = new TargetDirectory(host['availability-zone'], clock);
   const control = new ControlClient({ members: cluster.control, credential, clock });
