--- /dev/null
+++ b/src/configuration/tests/examples.test.ts
@@ -0,0 +1,14 @@
+import { parseConfiguration, safeReadDirectory } from '..';
+
+function targetsOf(directory: string): Readonly<Record<string, number>> {
+  const files = safeReadDirectory(directory).unwrap();
+  const { pools } = parseConfiguration(files);
+  return Object.fromEntries(pools.map((pool) => [pool.name, pool.targets.length]));
+}
+
+describe('the examples', () => {
+  it('have the sizes of both deployments', () => {
+    expect(targetsOf('examples/carriers')).toEqual({ 'agent-models': 8, 'checkin-core': 17 });
+    expect(targetsOf('examples/photographers')).toEqual({ 'lm-assist': 6, 'gallery-app': 13 });
+  });
+});
--- a/src/entry/step.ts
+++ b/src/entry/step.ts
@@ -6,6 +6,9 @@
 /** Longest time that the leader holds one request to begin; milliseconds. */
 const HOLD_MILLISECONDS = 10_000;
 
+/** Margin for the leader's answer, which it gives when the time to wait is over. */
+const ANSWER_MILLISECONDS = 2000;
+
 /** How long the answer of a finished call is offered to the leader; milliseconds. */
 const COMPLETE_MILLISECONDS = 30_000;
 
@@ -76,8 +79,8 @@
 ): Promise<BeginOutcome> {
   const waitMilliseconds = Math.max(0, Math.min(Math.floor(remaining), HOLD_MILLISECONDS));
   const limits = {
-    deadlineMilliseconds: Math.max(1, remaining),
-    attemptMilliseconds: HOLD_MILLISECONDS + 2000,
+    deadlineMilliseconds: Math.max(0, remaining) + ANSWER_MILLISECONDS,
+    attemptMilliseconds: HOLD_MILLISECONDS + ANSWER_MILLISECONDS,
   };
   return askControl('not-run', () =>
     context.control.call<BeginOutcome>(
--- /dev/null
+++ b/src/state/tests/fixture.ts
@@ -0,0 +1,109 @@
+import { digestFiles } from '../../configuration';
+import { digestPrefixes } from '../../core';
+import { localFiles } from '../../local/configuration';
+import type { BeginStep, Command, CommandResults } from '..';
+import { ProgramStateMachine } from '..';
+
+const sidecar = { host: '127.0.0.1', port: 7000 };
+const target = { name: 'engine-a', availabilityZone: 'zone-a', sidecar, address: sidecar };
+
+export const TEAM = 'counter';
+
+/** Operators' files with a budget of the given size. */
+export function filesWithBudget(tokens: number, calls: number) {
+  return localFiles({ engines: [target], plain: [{ ...target, name: 'plain-a' }] }).map((file) => ({
+    ...file,
+    text: file.text
+      .replace('tokens = 2000000', `tokens = ${tokens}`)
+      .replace('calls = 100000', `calls = ${calls}`),
+  }));
+}
+
+/** Drives a state machine as the replicated log does. */
+export class StateFixture {
+  readonly machine = new ProgramStateMachine();
+  #index = 0;
+  #attempts = 0;
+  now = 1_000_000;
+
+  constructor(tokens = 10_000, calls = 10) {
+    const files = filesWithBudget(tokens, calls);
+    this.apply({
+      kind: 'accept-configuration',
+      at: this.now,
+      input: { number: 1, digest: digestFiles(files), files },
+    });
+  }
+
+  apply<K extends Command['kind']>(command: Extract<Command, { kind: K }>): CommandResults[K] {
+    this.#index += 1;
+    return this.machine.apply(JSON.stringify(command), this.#index) as CommandResults[K];
+  }
+
+  create(id: string, parent?: string) {
+    const input = { id, team: TEAM, ...(parent === undefined ? {} : { parent }) };
+    return this.apply({ kind: 'create-program', at: this.now, input });
+  }
+
+  /** A turn with one new message, unless told otherwise. */
+  step(program: string, sequence: number, extra: Partial<BeginStep> = {}): BeginStep {
+    this.#attempts += 1;
+    return {
+      program,
+      team: TEAM,
+      sequence,
+      attempt: `attempt-${this.#attempts}`,
+      entry: 'entry-1/a',
+      service: 'assistant',
+      requestDigest: `request-${sequence}`,
+      history: { kind: 'append' },
+      newTokens: 100,
+      outputTokens: 100,
+      ...extra,
+    };
+  }
+
+  begin(input: BeginStep, displaces?: string) {
+    const command = { kind: 'begin-step', at: this.now, input } as const;
+    return this.apply(displaces === undefined ? command : { ...command, displaces });
+  }
+
+  complete(step: BeginStep, text: string, used = { prompt: 50, completion: 10 }) {
+    const question = { role: 'user', content: `${text}?` };
+    const message = { role: 'assistant', content: text };
+    return this.apply({
+      kind: 'complete-step',
+      at: this.now,
+      input: {
+        program: step.program,
+        sequence: step.sequence ?? 0,
+        attempt: step.attempt,
+        answer: {
+          kind: 'turn',
+          id: 'answer',
+          model: 'stand-in',
+          created: 1,
+          message,
+          finishReason: 'stop',
+          usage: { promptTokens: used.prompt, completionTokens: used.completion, cachedTokens: 0 },
+        },
+        messages: [question, message],
+        usage: { promptTokens: used.prompt, completionTokens: used.completion, cachedTokens: 0 },
+        target: 'engine-a',
+        end: false,
+      },
+    });
+  }
+
+  /** Digests of a message list, as an entry sends them. */
+  static whole(...contents: readonly (readonly [string, string])[]): BeginStep['history'] {
+    const messages = contents.map(([role, content]) => ({ role, content }));
+    return { kind: 'whole', digests: digestPrefixes(messages) };
+  }
+
+  spending(program: string) {
+    const record = this.machine.tables.programs.get(program);
+    if (record === undefined) throw new Error(`no program ${program}`);
+    return this.machine.tables.spendingOf(record);
+  }
+}
--- a/src/storage/record-file.ts
+++ b/src/storage/record-file.ts
@@ -46,6 +46,7 @@
       if (bytes.length < FILE_MARK.length) return await this.#begin();
       return await this.#read(bytes);
     } catch (error) {
+      await this.close();
       if (error instanceof StorageError) throw error;
       const message = `can't be opened; check the folder, its permissions and space: ${messageOf(error)}`;
       throw StorageError.at(this.#file, 'unopenable', message, error);
--- a/stand-ins/engine/streams.ts
+++ b/stand-ins/engine/streams.ts
@@ -36,7 +36,7 @@
     this.#tokens += 1;
     this.#send(this.#chunk([{ index: 0, delta: { content: text }, finish_reason: null }]));
     if (this.#breakAfter > 0 && this.#tokens >= this.#breakAfter) {
-      this.#response?.destroy();
+      this.#response?.socket?.destroySoon();
       return true;
     }
     if (last) this.#finish(cachedTokens);
--- /dev/null
+++ b/tests/refusals.test.ts
@@ -0,0 +1,92 @@
+import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
+import { INSTANT_ENGINE, type LocalSystem, startLocalSystem } from '../src/local';
+import { type CallOptions, Caller } from './caller';
+import { Normalizer } from './normalizer';
+
+const MESSAGES = [{ role: 'user', content: 'x' }];
+const CHAT = '/v1/chat/completions';
+
+/** Bad requests; each is refused with a code, a message and an outcome. */
+const REQUESTS: readonly (readonly [string, string, CallOptions])[] = [
+  ['no key', CHAT, { key: '', body: { model: 'stand-in', messages: MESSAGES } }],
+  ['unknown key', CHAT, { key: 'nobody', body: { model: 'stand-in', messages: MESSAGES } }],
+  ['body that is not JSON', CHAT, { body: '{"model": ' }],
+  ['body of another shape', CHAT, { body: { model: 7, messages: [] } }],
+  ['more than one choice', CHAT, { body: { model: 'stand-in', messages: MESSAGES, n: 2 } }],
+  ['unknown model', CHAT, { body: { model: 'nothing', messages: MESSAGES } }],
+  ['body too large', CHAT, { body: `"${'x'.repeat(8_388_608)}"` }],
+  [
+    'sequence that is not a number',
+    CHAT,
+    {
+      headers: { 'martenbay-program': 'p', 'martenbay-sequence': 'first' },
+      body: { model: 'stand-in', messages: MESSAGES },
+    },
+  ],
+  [
+    'program of nobody',
+    CHAT,
+    { headers: { 'martenbay-program': 'p-0' }, body: { model: 'stand-in', messages: MESSAGES } },
+  ],
+  [
+    'more tokens than the budget',
+    CHAT,
+    { body: { model: 'stand-in', messages: MESSAGES, max_tokens: 9_000_000 } },
+  ],
+  ['unknown program kind', '/v1/programs', { body: { kind: 'none' } }],
+  ['unknown parent', '/v1/programs', { body: { parent: 'p-0' } }],
+  ['unknown key of a program', '/v1/programs', { body: { colour: 'red' } }],
+  ['program that is not there', '/v1/programs/p-0', { method: 'GET' }],
+  ['badly encoded program', '/v1/programs/%E0%A4%A', { method: 'GET' }],
+  ['method that programs do not have', '/v1/programs/p-0', { method: 'PATCH' }],
+  ['unknown path', '/v2/anything', { method: 'GET' }],
+  ['unknown service', '/services/nothing/x', { method: 'GET' }],
+  ['engine asked as a plain service', '/services/assistant/load', { method: 'GET' }],
+  ['no service', '/services//x', { method: 'GET' }],
+  ['encoded separator', '/services/check-in/a%2fb', { method: 'GET' }],
+  ['encoded dots', '/services/check-in/%2e%2e/orders', { method: 'GET' }],
+  ['backslash', '/services/check-in/a%5cb', { method: 'GET' }],
+  ['empty segment', '/services/check-in/a//b', { method: 'GET' }],
+  ['null byte', '/services/check-in/a%00b', { method: 'GET' }],
+  ['line break', '/services/check-in/a%0d%0ab', { method: 'GET' }],
+];
+
+describe('requests that are refused', () => {
+  let system: LocalSystem;
+
+  beforeAll(async () => {
+    system = await startLocalSystem({
+      clock: new SystemClock(),
+      random: new SeededRandom(9),
+      loggerFor: () => createSilentLogger(),
+      engineSettings: INSTANT_ENGINE,
+    });
+  });
+
+  afterAll(async () => {
+    await system.lifeCycle.stop();
+  });
+
+  it('say why, and whether they ran', async () => {
+    const caller = new Caller(system.entryUrl);
+    const normalizer = new Normalizer();
+    const lines: string[] = [];
+    for (const [name, path, options] of REQUESTS) {
+      const { status, outcome, text } = await caller.send(path, options);
+      const { error } = JSON.parse(text) as {
+        readonly error: { readonly code: string; readonly message: string };
+      };
+      const line = `${name}: ${status} ${outcome ?? ''} ${error.code}: ${error.message}`;
+      lines.push(normalizer.normalize(line));
+    }
+    expect(lines.join('\n')).toMatchSnapshot();
+    expect(await caller.executions()).toBe(0);
+  });
+
+  it('do not include the pages of health, which need no key', async () => {
+    const caller = new Caller(system.entryUrl);
+    for (const page of ['/healthz', '/readyz', '/metrics']) {
+      expect(await caller.send(page, { method: 'GET', key: '' })).toMatchObject({ status: 200 });
+    }
+  });
+});
