--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import { Command } from 'commander';
 import { benchFootprint } from './footprint';
 import { benchLink } from './link';
+import { benchNodes } from './nodes';
 import { type PathOptions, benchPath } from './path';
 
 const DEFAULT_CALLS = 1000;
@@ -33,4 +34,11 @@
   .action(async (options: { readonly calls: number }) => {
     await benchLink(options.calls);
   });
+program
+  .command('nodes')
+  .description('what a control host spends on connected processes')
+  .option('--sizes <numbers>', 'numbers of processes', parseNumbers, [10, 100, 300, 1000])
+  .action(async (options: { readonly sizes: readonly number[] }) => {
+    await benchNodes(options.sizes);
+  });
 void program.parseAsync();
--- a/scripts/separate/layout.ts
+++ b/scripts/separate/layout.ts
@@ -36,6 +36,7 @@
   readonly controlMembers: readonly { readonly name: string; readonly address: Address }[];
   readonly entryAddresses: readonly Address[];
   readonly targets: readonly LocalTarget[];
+  readonly processCredential: string;
   /** Directory of the operators' files. */
   readonly configuration: string;
   /** Settings of the operators' command line. */
@@ -115,6 +116,7 @@
     controlMembers,
     entryAddresses,
     targets,
+    processCredential: PROCESS_CREDENTIAL,
     configuration,
     operatorSettings: await write('operator', {
       operator: { control: cluster.control, credential: OPERATOR_CREDENTIAL },
--- a/src/control/registry.ts
+++ b/src/control/registry.ts
@@ -22,6 +22,8 @@
   readonly #sessionMilliseconds: number;
   readonly #sessions = new Map<string, Session>();
   readonly #targets = new Map<string, VersionedTarget>();
+  /** Key of the session that last spoke for a target. */
+  readonly #speakers = new Map<string, string>();
   #version = 0;
   #leaderSince = 0;
 
@@ -33,6 +35,7 @@
   reset(now: number): void {
     this.#sessions.clear();
     this.#targets.clear();
+    this.#speakers.clear();
     this.#version = 0;
     this.#leaderSince = now;
   }
@@ -46,6 +49,7 @@
     const key = keyOf(heartbeat.kind, heartbeat.name);
     this.#sessions.set(key, { heartbeat, heardAt: now });
     if (heartbeat.kind === 'entry' || heartbeat.target === undefined) return false;
+    this.#speakers.set(heartbeat.target, key);
     return this.#putTarget({
       target: heartbeat.target,
       state: heartbeat.state,
@@ -94,9 +98,8 @@
   }
 
   #targetHeard(target: string, now: number): boolean {
-    return [...this.#sessions.values()].some(
-      (session) => session.heartbeat.target === target && !this.#silent(session, now),
-    );
+    const session = this.#sessions.get(this.#speakers.get(target) ?? '');
+    return session !== undefined && !this.#silent(session, now);
   }
 
   #silent(session: Session, now: number): boolean {
--- a/src/local/system.ts
+++ b/src/local/system.ts
@@ -7,7 +7,7 @@
   engineSettingsSchema,
   plainSettingsSchema,
 } from '../../stand-ins';
-import { digestFiles } from '../configuration';
+import { type SourceFile, digestFiles } from '../configuration';
 import { createControlProcess } from '../control';
 import {
   type Address,
@@ -38,6 +38,8 @@
   readonly engineSettings?: StandInSettings;
   /** Settings of the stand-in service that differ from the default ones. */
   readonly plainSettings?: StandInSettings;
+  /** Operators' files besides those of the local system. */
+  readonly extraFiles?: readonly SourceFile[];
 }
 
 /** Keys of a stand-in's settings. */
@@ -107,7 +109,10 @@
       }),
     }),
   );
-  lifeCycle.add('configuration', createApplier(options.clock, control, known));
+  lifeCycle.add(
+    'configuration',
+    createApplier(options.clock, control, [...localFiles(known), ...(options.extraFiles ?? [])]),
+  );
   for (const target of targets) {
     lifeCycle.add(
       target.name,
@@ -172,12 +177,11 @@
 }
 
 /** Applies the local files as an operator would. */
-function createApplier(clock: Clock, control: Address, targets: LocalTargets): Component {
+function createApplier(clock: Clock, control: Address, files: readonly SourceFile[]): Component {
   return {
     start: async () => {
       const client = clientTo(clock, control, OPERATOR_CREDENTIAL);
-      const files = [...localFiles(targets)];
-      const input = { number: 1, digest: digestFiles(files), files };
+      const input = { number: 1, digest: digestFiles(files), files: [...files] };
       await client.call((connection, signal) =>
         connection.configuration.accept.mutate(input, { signal }),
       );
