A restarted sidecar could prove a call not run that had run: settled by incarnation

Cause, found by reading: an entry that settles a dead entry's attempt compared the claim's incarnation with its own, possibly old, directory, and the sidecar answered without looking. A sidecar restarted in between knows nothing of the attempt, revoked it, and so proved 'not run' for a call that may have run: it would have run twice. The sidecar now compares, and answers 'unknown' for another incarnation.

Also: a sidecar that can't be asked gives 503 with the outcome unknown and not a 500; time limits of control, entry and sidecar use the injected clock.

--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -46,6 +46,7 @@
   const client = new ControlClient({ members: cluster.control, credential, clock });
   const transport: ControlTransport = new ControlTransport({
     client,
+    clock,
     logger,
     receive: (messages) => {
       log.receive(messages);
--- a/src/control/transport.ts
+++ b/src/control/transport.ts
@@ -1,4 +1,4 @@
-import { type Logger, messageOf } from '../core';
+import { type Clock, type Logger, messageOf, startTimeout } from '../core';
 import type { ControlClient } from '../protocol';
 import type { Envelope, RaftMessage, ReplicationTransport } from '../replication';
 
@@ -10,6 +10,7 @@
 
 export interface ControlTransportOptions {
   readonly client: ControlClient;
+  readonly clock: Clock;
   readonly logger: Logger;
   /** Takes a peer's answers. */
   readonly receive: (messages: readonly RaftMessage[]) => void;
@@ -53,15 +54,18 @@
   }
 
   async #deliver(peer: string, messages: RaftMessage[]): Promise<void> {
-    const { client, logger, receive } = this.#options;
+    const { client, clock, logger, receive } = this.#options;
+    const { controller, cancel } = startTimeout(clock, DELIVERY_MILLISECONDS);
     try {
       const connection = client.member(peer);
       if (connection === undefined) return;
-      const signal = AbortSignal.timeout(DELIVERY_MILLISECONDS);
+      const { signal } = controller;
       const { answers } = await connection.replication.deliver.mutate({ messages }, { signal });
       receive(answers);
     } catch (error) {
       logger.debug({ event: 'replication-send-failed', peer, error: messageOf(error) });
+    } finally {
+      cancel();
     }
   }
 }
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -57,3 +57,18 @@
     clock.after(milliseconds, resolve);
   });
 }
+
+/** A signal that aborts after a time, and what cancels it. */
+export interface Timeout {
+  readonly controller: AbortController;
+  readonly cancel: CancelTimer;
+}
+
+/** Starts a signal that aborts after `milliseconds`. */
+export function startTimeout(clock: Clock, milliseconds: number): Timeout {
+  const controller = new AbortController();
+  const cancel = clock.after(Math.max(0, milliseconds), () => {
+    controller.abort(new Error('the time is over'));
+  });
+  return { controller, cancel };
+}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,13 @@
 export { type Address, addressSchema, formatAddress } from './address';
-export { type CancelTimer, type Clock, SystemClock, delay, repeat } from './clock';
+export {
+  type CancelTimer,
+  type Clock,
+  SystemClock,
+  type Timeout,
+  delay,
+  repeat,
+  startTimeout,
+} from './clock';
 export { digestPrefixes, digestText, digestValue, equalSecrets } from './digest';
 export { type Issue, MartenbayError, formatIssue, formatPath, messageOf } from './errors';
 export { type Component, LifeCycle } from './life-cycle';
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -1,5 +1,12 @@
 import type { Configuration, ConfigurationInForce } from '../configuration';
-import { type Clock, type Logger, type Metrics, type RandomSource } from '../core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  type RandomSource,
+  type Timeout,
+  startTimeout,
+} from '../core';
 import { type ControlClient, ControlUnavailableError } from '../protocol';
 import type { RoutingPolicy } from '../routing';
 import type { EntrySettings } from '../settings';
@@ -34,19 +41,9 @@
   return current;
 }
 
-/** A signal that aborts at a monotonic time, and what cancels it. */
-export interface DeadlineSignal {
-  readonly controller: AbortController;
-  readonly cancel: () => void;
-}
-
-/** Starts a signal that aborts at `deadline`. */
-export function startDeadline(clock: Clock, deadline: number): DeadlineSignal {
-  const controller = new AbortController();
-  const cancel = clock.after(Math.max(0, deadline - clock.monotonic()), () => {
-    controller.abort(new Error('the deadline passed'));
-  });
-  return { controller, cancel };
+/** Starts a signal that aborts at a monotonic time. */
+export function startDeadline(clock: Clock, deadline: number): Timeout {
+  return startTimeout(clock, deadline - clock.monotonic());
 }
 
 /** Runs a call to the leader, turning its failure into a refusal with the given outcome. */
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -90,11 +90,6 @@
       .find((target) => target.name === name);
   }
 
-  /** Incarnation of the sidecar beside a target, as last told. */
-  incarnationOf(target: string): string | undefined {
-    return this.#records.get(target)?.incarnation;
-  }
-
   #describe(configuration: Configuration, target: Target, record: TargetRecord): KnownTarget {
     return {
       target,
--- a/src/entry/sidecar-client.ts
+++ b/src/entry/sidecar-client.ts
@@ -4,7 +4,7 @@
 import type { Target } from '../configuration';
 import { type Component, MartenbayError, formatAddress, messageOf } from '../core';
 import { ATTEMPT_PREFIX, CALL_PREFIX, HEADERS } from '../protocol';
-import { answerSchema } from '../state';
+import { type Claim, answerSchema } from '../state';
 
 /** A call got no answer from a target or its sidecar. */
 export class CallError extends MartenbayError {
@@ -90,12 +90,17 @@
   }
 
   /** Revokes an attempt unless it was admitted; tells what became of it. */
-  async settle(target: Target, attempt: string, signal: AbortSignal): Promise<SettledAttempt> {
+  async settle(
+    target: Target,
+    attempt: string,
+    claim: Claim,
+    signal: AbortSignal,
+  ): Promise<SettledAttempt> {
     const path = `${ATTEMPT_PREFIX}/${encodeURIComponent(attempt)}`;
     const answer = await request(`http://${formatAddress(target.address)}${path}`, {
       dispatcher: this.#agent,
       method: 'POST',
-      headers: { [HEADERS.credential]: this.#credential },
+      headers: { [HEADERS.credential]: this.#credential, [HEADERS.claim]: claim.incarnation },
       signal,
     });
     return attemptStateSchema.parse(await answer.body.json());
--- a/src/entry/step.ts
+++ b/src/entry/step.ts
@@ -1,7 +1,17 @@
-import { messageOf } from '../core';
-import type { Answer, BeginOutcome, BeginStep, CompleteStep, ResolveStep, RunStep } from '../state';
+import type { Target } from '../configuration';
+import { messageOf, startTimeout } from '../core';
+import type {
+  Answer,
+  BeginOutcome,
+  BeginStep,
+  Claim,
+  CompleteStep,
+  ResolveStep,
+  RunStep,
+} from '../state';
 import { type EntryContext, askControl, configurationOf } from './context';
 import { Refusal, notRun } from './refusal';
+import type { SettledAttempt } from './sidecar-client';
 
 /** Longest time that the leader holds one request to begin; milliseconds. */
 const HOLD_MILLISECONDS = 10_000;
@@ -115,7 +125,7 @@
 interface AttemptToSettle {
   readonly sequence: number;
   readonly attempt: string;
-  readonly claim: { readonly target: string; readonly incarnation: string };
+  readonly claim: Claim;
 }
 
 const SETTLE_MILLISECONDS = 2000;
@@ -141,10 +151,8 @@
   step: AttemptToSettle,
 ): Promise<ResolveStep['finding']> {
   const target = context.directory.find(configurationOf(context), step.claim.target);
-  const sameSidecar = context.directory.incarnationOf(step.claim.target) === step.claim.incarnation;
-  if (target === undefined || !sameSidecar) return { kind: 'unknown' };
-  const signal = AbortSignal.timeout(SETTLE_MILLISECONDS);
-  const state = await context.sidecars.settle(target, step.attempt, signal);
+  if (target === undefined) return { kind: 'unknown' };
+  const state = await askSidecar(context, target, step);
   switch (state.state) {
     case 'revoked':
       return { kind: 'not-run' };
@@ -162,6 +170,28 @@
   }
 }
 
+/** A sidecar that can't be asked now may know the answer later. */
+async function askSidecar(
+  context: EntryContext,
+  target: Target,
+  step: AttemptToSettle,
+): Promise<SettledAttempt> {
+  const { controller, cancel } = startTimeout(context.clock, SETTLE_MILLISECONDS);
+  try {
+    return await context.sidecars.settle(target, step.attempt, step.claim, controller.signal);
+  } catch (error) {
+    throw new Refusal({
+      status: 503,
+      code: 'step-running',
+      message: 'the target of an earlier attempt gives no answer; ask again later',
+      outcome: 'unknown',
+      cause: error,
+    });
+  } finally {
+    cancel();
+  }
+}
+
 /** Stores a step's answer; a step that another entry took over has that one's answer. */
 export async function completeStep(context: EntryContext, step: CompleteStep): Promise<Answer> {
   const outcome = await askControl('unknown', () =>
--- a/src/sidecar/gateway.ts
+++ b/src/sidecar/gateway.ts
@@ -10,7 +10,7 @@
   formatLoad,
 } from '../protocol';
 import type { CallAnswer } from '../state';
-import { AttemptTable } from './attempts';
+import { type AttemptState, AttemptTable } from './attempts';
 import { type TargetClient, TargetError, readWhole } from './target-client';
 
 export interface GatewayOptions {
@@ -76,13 +76,19 @@
     if (url.startsWith(`${CALL_PREFIX}/`)) {
       this.#admit(request, response);
     } else if (request.method === 'POST' && url.startsWith(`${ATTEMPT_PREFIX}/`)) {
-      const state = this.#attempts.revoke(decodeURIComponent(url.slice(ATTEMPT_PREFIX.length + 1)));
+      const state = this.#settle(request, decodeURIComponent(url.slice(ATTEMPT_PREFIX.length + 1)));
       response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(state));
     } else {
       refuse(response, 404, 'not-run', 'no such path');
     }
   }
 
+  /** Of a claim at an earlier incarnation nothing is known here: its attempts may have run. */
+  #settle(request: IncomingMessage, attempt: string): AttemptState {
+    const ours = request.headers[HEADERS.claim] === this.#options.incarnation;
+    return ours ? this.#attempts.revoke(attempt) : { state: 'unknown' };
+  }
+
   #admit(request: IncomingMessage, response: ServerResponse): void {
     const refusal = this.#refusal(request);
     if (refusal !== undefined) {
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -44,7 +44,7 @@
   const incarnation = random.hex(8);
   const metrics = new Metrics();
   const configuration = new ConfigurationInForce();
-  const targetClient = new TargetClient(sidecar['target-address']);
+  const targetClient = new TargetClient(sidecar['target-address'], clock);
   const control = new ControlClient({ members: cluster.control, credential, clock });
   let load: Load = { running: 0, waiting: 0 };
   let leaving = false;
--- a/src/sidecar/target-client.ts
+++ b/src/sidecar/target-client.ts
@@ -1,7 +1,6 @@
 import { Agent, type IncomingHttpHeaders, type IncomingMessage, request } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Address } from '../core';
-import { MartenbayError, messageOf } from '../core';
+import { type Address, type Clock, MartenbayError, messageOf, startTimeout } from '../core';
 
 /** A call did not get an answer from the target. */
 export class TargetError extends MartenbayError {
@@ -31,10 +30,12 @@
 /** HTTP client to the one target that a sidecar stands beside. */
 export class TargetClient {
   readonly #address: Address;
+  readonly #clock: Clock;
   readonly #agent = new Agent({ keepAlive: true });
 
-  constructor(address: Address) {
+  constructor(address: Address, clock: Clock) {
     this.#address = address;
+    this.#clock = clock;
   }
 
   /** Sends a call and resolves with the answer's head; its body is still to be read. */
@@ -63,19 +64,24 @@
   /** Sends JSON and reads a JSON answer; nothing unless its status is 200. */
   async json(method: 'GET' | 'POST', path: string, content?: unknown): Promise<unknown> {
     const body = content === undefined ? '' : JSON.stringify(content);
-    const response = await this.send({
-      method,
-      path,
-      headers: {
-        'content-type': 'application/json',
-        'content-length': String(Buffer.byteLength(body)),
-      },
-      body,
-      freshConnection: false,
-      signal: AbortSignal.timeout(JSON_TIMEOUT_MILLISECONDS),
-    });
-    const text = (await readWhole(response, JSON_LIMIT_BYTES))?.toString() ?? '';
-    return response.statusCode === 200 ? (JSON.parse(text) as unknown) : undefined;
+    const { controller, cancel } = startTimeout(this.#clock, JSON_TIMEOUT_MILLISECONDS);
+    try {
+      const response = await this.send({
+        method,
+        path,
+        headers: {
+          'content-type': 'application/json',
+          'content-length': String(Buffer.byteLength(body)),
+        },
+        body,
+        freshConnection: false,
+        signal: controller.signal,
+      });
+      const text = (await readWhole(response, JSON_LIMIT_BYTES))?.toString() ?? '';
+      return response.statusCode === 200 ? (JSON.parse(text) as unknown) : undefined;
+    } finally {
+      cancel();
+    }
   }
 
   stop(): void {
--- a/tests/openai-client.test.ts
+++ b/tests/openai-client.test.ts
@@ -38,12 +38,16 @@
     });
     const parts: string[] = [];
     const usages: unknown[] = [];
+    const reasons: (string | null)[] = [];
     for await (const chunk of stream) {
       parts.push(chunk.choices[0]?.delta.content ?? '');
       if (chunk.usage) usages.push(chunk.usage);
+      else reasons.push(chunk.choices[0]?.finish_reason ?? null);
     }
     expect(parts.join('')).toBe(whole.choices[0]?.message.content);
     expect(usages).toHaveLength(1);
+    expect(reasons.slice(0, -1).every((reason) => reason === null)).toBe(true);
+    expect(reasons.at(-1)).toBe('stop');
   });
 
   it('keeps up a program by echoing the answers it got', async () => {
