Clean-up: one counter of work under way, one name schema, one way to adopt a change

Cause: reading as a newcomer, and a search for repeated lines. Entry and sidecar each counted their calls and waited for the last; both settings and operators' files had the pattern of a name; both processes took a new configuration over in the same lines; six tests started the same system.

--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,9 +1,6 @@
 import * as z from 'zod';
-import { addressSchema } from '../core';
+import { addressSchema, nameSchema as name } from '../core';
 
-const name = z
-  .string()
-  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'use lower-case letters, digits and hyphens, 63 at most');
 const positive = z.int().positive();
 
 const availabilityZoneSchema = z.strictObject({ name, region: name });
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -10,8 +10,10 @@
 } from './clock';
 export { digestPrefixes, digestText, digestValue, equalSecrets } from './digest';
 export { type Issue, MartenbayError, formatIssue, formatPath, messageOf } from './errors';
+export { InFlight } from './in-flight';
 export { type Component, LifeCycle } from './life-cycle';
 export { type LogOptions, type Logger, createLogger, createSilentLogger } from './log';
 export { Metrics } from './metrics';
+export { nameSchema } from './name';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
 export { issuesOf, parseDocument } from './toml';
--- a/src/entry/process.ts
+++ b/src/entry/process.ts
@@ -1,7 +1,13 @@
 import { ConfigurationInForce } from '../configuration';
 import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource } from '../core';
 import { LatencyHistograms } from '../core/latency';
-import { ControlClient, HttpListener, Presence, type WatchChanges } from '../protocol';
+import {
+  ControlClient,
+  HttpListener,
+  Presence,
+  type WatchChanges,
+  adoptChanges,
+} from '../protocol';
 import { createPolicy } from '../routing';
 import type { EntrySettings } from '../settings';
 import type { EntryContext } from './context';
@@ -44,11 +50,7 @@
   };
   const onChanges = (changes: WatchChanges) => {
     if (changes.directory !== undefined) directory.update(changes.directory);
-    if (changes.configuration === undefined) return;
-    const { number, files } = changes.configuration;
-    const outcome = configuration.adopt(number, files);
-    logger.info({ event: 'configuration', outcome, number });
-    void presence.announce();
+    adoptChanges(configuration, changes, presence, logger);
   };
   const presence = new Presence({
     client: control,
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -2,10 +2,12 @@
 import { MartenbayError } from '../core';
 import { HEADERS, type RunOutcome } from '../protocol';
 
+/** Codes of the refusals that an entry makes by itself; the state's are in `outcomes.ts`. */
 export type RefusalReason =
   | 'bad-request'
   | 'unauthorized'
   | 'not-found'
+  | 'service-not-allowed'
   | 'not-ours'
   | 'body-too-large'
   | 'unknown-model'
@@ -17,7 +19,6 @@
   | 'deadline-passed'
   | 'control-unavailable'
   | 'superseded'
-  | 'shutting-down'
   | 'internal';
 
 export interface RefusalOptions {
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { messageOf } from '../core';
+import { InFlight, messageOf } from '../core';
 import { answerHealth } from '../protocol';
 import { handleChat } from './chat';
 import { type EntryContext, configurationOf } from './context';
@@ -11,8 +11,7 @@
 /** Takes callers' requests, and tells when the last of them is answered. */
 export class EntryServer {
   readonly #context: EntryContext;
-  readonly #idle: (() => void)[] = [];
-  #running = 0;
+  readonly #inFlight = new InFlight();
   #stopping = false;
 
   constructor(context: EntryContext) {
@@ -21,17 +20,13 @@
 
   /** Requests that are not answered yet. */
   get running(): number {
-    return this.#running;
+    return this.#inFlight.count;
   }
 
   readonly handle = (request: IncomingMessage, response: ServerResponse): void => {
     if (answerHealth(this, request, response)) return;
-    this.#running += 1;
     if (this.#stopping) response.setHeader('connection', 'close');
-    void this.#answer(request, response).finally(() => {
-      this.#running -= 1;
-      if (this.#running === 0) for (const wake of this.#idle.splice(0)) wake();
-    });
+    this.#inFlight.track(this.#answer(request, response));
   };
 
   get metrics() {
@@ -46,8 +41,7 @@
   /** Turns the balancer away, and resolves once the requests under way are answered. */
   drain(): Promise<void> {
     this.#stopping = true;
-    if (this.#running === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idle.push(resolve));
+    return this.#inFlight.idle();
   }
 
   async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -118,7 +118,7 @@
   );
   if (kind?.services.includes(call.service.name) === true) return;
   const message = `team "${call.team.name}" may not call "${call.service.name}" by default`;
-  throw notRun(403, 'not-found', message);
+  throw notRun(403, 'service-not-allowed', message);
 }
 
 type ChosenTarget = ReturnType<typeof chooseTarget>;
--- a/src/local/tests/local-session.test.ts
+++ b/src/local/tests/local-session.test.ts
@@ -1,17 +1,12 @@
-import { SeededRandom, SystemClock, createSilentLogger } from '../../core';
-import { INSTANT_ENGINE, LOCAL_KEY, runSession, startLocalSystem } from '..';
+import { LOCAL_KEY, runSession } from '..';
 import { Normalizer } from '../../../tests/normalizer';
+import { startTestSystem } from '../../../tests/local-system';
 
 describe('a session with the local system', () => {
   it('is the same on every run', async () => {
     const normalizer = new Normalizer();
     const lines: string[] = [];
-    const system = await startLocalSystem({
-      clock: new SystemClock(),
-      random: new SeededRandom(7),
-      loggerFor: () => createSilentLogger(),
-      engineSettings: INSTANT_ENGINE,
-    });
+    const system = await startTestSystem(7);
     await runSession({
       entries: [system.entryUrl],
       key: LOCAL_KEY,
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -29,4 +29,4 @@
   Watch,
   WatchChanges,
 } from './schemas';
-export { Presence, type PresenceOptions } from './presence';
+export { Presence, type PresenceOptions, adoptChanges } from './presence';
--- a/src/protocol/presence.ts
+++ b/src/protocol/presence.ts
@@ -1,3 +1,4 @@
+import type { ConfigurationInForce } from '../configuration';
 import {
   type CancelTimer,
   type Clock,
@@ -22,6 +23,20 @@
   readonly onChanges: (changes: WatchChanges) => Promise<void> | void;
 }
 
+/** Puts a configuration that a watch brought in force, and tells the leader so. */
+export function adoptChanges(
+  configuration: ConfigurationInForce,
+  changes: WatchChanges,
+  presence: Presence,
+  logger: Logger,
+): void {
+  if (changes.configuration === undefined) return;
+  const { number, files } = changes.configuration;
+  const outcome = configuration.adopt(number, files);
+  logger.info({ event: 'configuration', outcome, number });
+  void presence.announce();
+}
+
 /** How long the leader holds a watch without news; milliseconds. */
 const WATCH_MILLISECONDS = 10_000;
 
--- a/src/sidecar/gateway.ts
+++ b/src/sidecar/gateway.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import { type Logger, type Metrics, equalSecrets, messageOf } from '../core';
+import { InFlight, type Logger, type Metrics, equalSecrets, messageOf } from '../core';
 import {
   ATTEMPT_PREFIX,
   CALL_PREFIX,
@@ -46,8 +46,7 @@
 export class Gateway {
   readonly #options: GatewayOptions;
   readonly #attempts = new AttemptTable();
-  readonly #idle: (() => void)[] = [];
-  #running = 0;
+  readonly #inFlight = new InFlight();
   #leaving = false;
 
   constructor(options: GatewayOptions) {
@@ -56,14 +55,13 @@
 
   /** Calls admitted and not yet answered. */
   get running(): number {
-    return this.#running;
+    return this.#inFlight.count;
   }
 
   /** Refuses new calls from now on, and resolves once those under way are answered. */
   drain(): Promise<void> {
     this.#leaving = true;
-    if (this.#running === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idle.push(resolve));
+    return this.#inFlight.idle();
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
@@ -97,21 +95,17 @@
       return;
     }
     this.#options.metrics.count('calls_total');
-    this.#running += 1;
     const claimed = request.headers[HEADERS.claim] !== undefined;
     const work = claimed
       ? this.#forwardOnce(request, response)
       : this.#forwardStream(request, response);
-    void work.finally(() => {
-      this.#running -= 1;
-      if (this.#running === 0) for (const wake of this.#idle.splice(0)) wake();
-    });
+    this.#inFlight.track(work);
   }
 
   /** Why a call is not admitted; nothing when it is. */
   #refusal(request: IncomingMessage): string | undefined {
     if (this.#leaving) return 'the target is leaving';
-    if (this.#running >= this.#options.callsAtOnce) return 'the target is full';
+    if (this.running >= this.#options.callsAtOnce) return 'the target is full';
     const claim = request.headers[HEADERS.claim];
     if (claim === undefined) return undefined;
     if (claim !== this.#options.incarnation) return 'the claim is for an earlier sidecar';
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -17,6 +17,7 @@
   type Load,
   Presence,
   type WatchChanges,
+  adoptChanges,
   answerHealth,
 } from '../protocol';
 import type { SidecarSettings } from '../settings';
@@ -69,12 +70,7 @@
     },
   });
   const onChanges = async (changes: WatchChanges) => {
-    if (changes.configuration !== undefined) {
-      const { number, files } = changes.configuration;
-      const outcome = configuration.adopt(number, files);
-      logger.info({ event: 'configuration', outcome, number });
-      void presence.announce();
-    }
+    adoptChanges(configuration, changes, presence, logger);
     if (changes.orders.length === 0) return;
     const complete = await orders.run(changes.orders, changes.term);
     if (!complete) await delay(clock, ORDER_RETRY_MILLISECONDS);
--- a/tests/adoption.test.ts
+++ b/tests/adoption.test.ts
@@ -1,7 +1,8 @@
 import { PlainServer, plainSettingsSchema } from '../stand-ins';
-import { SeededRandom, SystemClock, createSilentLogger, formatAddress } from '../src/core';
-import { type LocalSystem, findFreeAddresses, startLocalSystem } from '../src/local';
+import { SystemClock, formatAddress } from '../src/core';
+import { type LocalSystem, findFreeAddresses } from '../src/local';
 import { Caller } from './caller';
+import { startTestSystem } from './local-system';
 
 describe('services that have not moved yet', () => {
   const clock = new SystemClock();
@@ -15,10 +16,7 @@
     const text = formatAddress(address);
     old = new PlainServer(plainSettingsSchema.parse({ address: text, name: 'old-script' }), clock);
     await old.start();
-    system = await startLocalSystem({
-      clock,
-      random: new SeededRandom(13),
-      loggerFor: () => createSilentLogger(),
+    system = await startTestSystem(13, {
       extraFiles: [
         {
           name: 'moving.toml',
--- a/tests/openai-client.test.ts
+++ b/tests/openai-client.test.ts
@@ -1,18 +1,13 @@
 import OpenAI from 'openai';
-import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
-import { INSTANT_ENGINE, LOCAL_KEY, type LocalSystem, startLocalSystem } from '../src/local';
+import { LOCAL_KEY, type LocalSystem } from '../src/local';
+import { startTestSystem } from './local-system';
 
 describe("the npm client 'openai' with only base URL and key changed", () => {
   let system: LocalSystem;
   let client: OpenAI;
 
   beforeAll(async () => {
-    system = await startLocalSystem({
-      clock: new SystemClock(),
-      random: new SeededRandom(11),
-      loggerFor: () => createSilentLogger(),
-      engineSettings: INSTANT_ENGINE,
-    });
+    system = await startTestSystem(11);
     client = new OpenAI({ baseURL: `${system.entryUrl}/v1`, apiKey: LOCAL_KEY, maxRetries: 0 });
   });
 
--- a/tests/program-order.test.ts
+++ b/tests/program-order.test.ts
@@ -1,18 +1,13 @@
-import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
-import { INSTANT_ENGINE, type LocalSystem, startLocalSystem } from '../src/local';
+import { type LocalSystem } from '../src/local';
 import { Caller, type Reply, contentOf } from './caller';
+import { startTestSystem } from './local-system';
 
 describe("a program's calls", () => {
   let system: LocalSystem;
   let caller: Caller;
 
   beforeAll(async () => {
-    system = await startLocalSystem({
-      clock: new SystemClock(),
-      random: new SeededRandom(5),
-      loggerFor: () => createSilentLogger(),
-      engineSettings: INSTANT_ENGINE,
-    });
+    system = await startTestSystem(5);
     caller = new Caller(system.entryUrl);
   });
 
--- a/tests/refusals.test.ts
+++ b/tests/refusals.test.ts
@@ -1,7 +1,7 @@
-import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
-import { INSTANT_ENGINE, type LocalSystem, startLocalSystem } from '../src/local';
+import { type LocalSystem } from '../src/local';
 import { type CallOptions, Caller } from './caller';
 import { Normalizer } from './normalizer';
+import { startTestSystem } from './local-system';
 
 const MESSAGES = [{ role: 'user', content: 'x' }];
 const CHAT = '/v1/chat/completions';
@@ -55,12 +55,7 @@
   let system: LocalSystem;
 
   beforeAll(async () => {
-    system = await startLocalSystem({
-      clock: new SystemClock(),
-      random: new SeededRandom(9),
-      loggerFor: () => createSilentLogger(),
-      engineSettings: INSTANT_ENGINE,
-    });
+    system = await startTestSystem(9);
   });
 
   afterAll(async () => {
--- a/tests/target-failures.test.ts
+++ b/tests/target-failures.test.ts
@@ -1,11 +1,6 @@
-import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
-import {
-  INSTANT_ENGINE,
-  type LocalSystem,
-  type StandInSettings,
-  startLocalSystem,
-} from '../src/local';
+import { type LocalSystem, type StandInSettings } from '../src/local';
 import { Caller, contentOf } from './caller';
+import { startTestSystem } from './local-system';
 
 describe('targets that fail', () => {
   let system: LocalSystem | undefined;
@@ -16,13 +11,7 @@
   });
 
   async function start(engine: StandInSettings, plain: StandInSettings = {}): Promise<Caller> {
-    system = await startLocalSystem({
-      clock: new SystemClock(),
-      random: new SeededRandom(3),
-      loggerFor: () => createSilentLogger(),
-      engineSettings: { ...INSTANT_ENGINE, ...engine },
-      plainSettings: plain,
-    });
+    system = await startTestSystem(3, { engineSettings: engine, plainSettings: plain });
     return new Caller(system.entryUrl);
   }
 
