A flaky test that was right: sidecars called plain services on their own

The sidecar reads its target's load with GET /load each second, also from plain services, which have no such page: the stand-in counted it as a call, and a real service would have got a request that nobody made. Only engines are asked now.

Ruled out: a step run by two attempts (the decision lines show one target and one answer), a lost session, a resend by the HTTP client.

Found while looking: a sidecar refused the second arrival of one attempt as 'not run' although the first may have run; the entry would then have begun the step anew. It says 'unknown' now. The old test asked for 'not-run', which was wrong; the new one is as strict.

Settings files for martenbay-local, validate-settings for martenbay; a kept data folder no longer clashes with the number of the last run; the three pages of health asked of every process; a following control host stopped in mid-stream.

--- a/scripts/separate/system.ts
+++ b/scripts/separate/system.ts
@@ -46,6 +46,17 @@
     return this.layout.entryAddresses.map((address) => `http://${formatAddress(address)}`);
   }
 
+  /** Base URLs of every process of martenbay's own. */
+  get ownAddresses(): readonly string[] {
+    const { controlMembers, entryAddresses, targets } = this.layout;
+    const addresses = [
+      ...controlMembers.map((member) => member.address),
+      ...entryAddresses,
+      ...targets.map((target) => target.sidecar),
+    ];
+    return addresses.map((address) => `http://${formatAddress(address)}`);
+  }
+
   get children(): readonly Child[] {
     return [...this.#children.values()];
   }
--- /dev/null
+++ b/src/core/tests/manual-clock.ts
@@ -0,0 +1,42 @@
+import type { CancelTimer, Clock } from '../clock';
+
+interface Timer {
+  readonly at: number;
+  readonly action: () => void;
+}
+
+/** A clock that stands still until it is moved. */
+export class ManualClock implements Clock {
+  #now = 0;
+  #timers: Timer[] = [];
+
+  now(): number {
+    return this.#now;
+  }
+
+  monotonic(): number {
+    return this.#now;
+  }
+
+  after(milliseconds: number, action: () => void): CancelTimer {
+    const timer = { at: this.#now + milliseconds, action };
+    this.#timers.push(timer);
+    return () => {
+      this.#timers = this.#timers.filter((other) => other !== timer);
+    };
+  }
+
+  /** Moves time on, running the timers that come due, earliest first. */
+  advance(milliseconds: number): void {
+    const end = this.#now + milliseconds;
+    for (;;) {
+      const due = this.#timers.filter((timer) => timer.at <= end);
+      const [next] = due.sort((left, right) => left.at - right.at);
+      if (next === undefined) break;
+      this.#timers = this.#timers.filter((timer) => timer !== next);
+      this.#now = next.at;
+      next.action();
+    }
+    this.#now = end;
+  }
+}
--- a/src/local/command.ts
+++ b/src/local/command.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander';
+import * as z from 'zod';
 import {
   type Address,
   SystemClock,
@@ -8,6 +9,7 @@
   messageOf,
 } from '../core';
 import { VERSION } from '../binary/version';
+import { SettingsError, loadSettings } from '../settings';
 import { LOCAL_KEY } from './configuration';
 import { runSession } from './session';
 import { type LocalSystem, startLocalSystem } from './system';
@@ -19,6 +21,27 @@
 }
 
 const DEFAULT_PORT = 8080;
+const FAILED_EXIT = 1;
+const INVALID_EXIT = 2;
+
+/** Settings of `martenbay-local run`. */
+const localSettingsSchema = z.strictObject({
+  local: z
+    .strictObject({
+      /** Port for callers. */
+      port: z.int().positive().max(65_535).default(DEFAULT_PORT),
+      /** Folder of the durable state; without one it ends with the process. */
+      'data-folder': z.string().min(1).optional(),
+    })
+    .prefault({}),
+});
+
+function settingsFrom(file: string | undefined): LocalOptions {
+  const settings =
+    file === undefined ? localSettingsSchema.parse({}) : loadSettings(localSettingsSchema, file);
+  const { port, 'data-folder': dataFolder } = settings.local;
+  return dataFolder === undefined ? { port } : { port, dataFolder };
+}
 
 /** Runs the command line of `martenbay-local`. */
 export async function runLocalCommand(): Promise<void> {
@@ -36,20 +59,23 @@
   program
     .command('run', { isDefault: true })
     .description('serve until stopped')
-    .option('--port <number>', 'port for callers', Number, DEFAULT_PORT)
-    .option(
-      '--data-folder <folder>',
-      'keep the durable state there; otherwise it ends with the process',
-    )
-    .action(async (options: LocalOptions) => {
-      const system = await start(options);
-      serveUntilStopped(system);
+    .option('--settings <file>', 'TOML file with a section [local]: port, data-folder')
+    .action(async (options: { readonly settings?: string }) => {
+      serveUntilStopped(await start(settingsFrom(options.settings)));
+    });
+  program
+    .command('validate-settings')
+    .description('check the settings and exit')
+    .requiredOption('--settings <file>', 'TOML file')
+    .action((options: { readonly settings: string }) => {
+      settingsFrom(options.settings);
+      process.stdout.write(`${options.settings}: valid\n`);
     });
   try {
     await program.parseAsync();
   } catch (error) {
     process.stderr.write(`${messageOf(error)}\n`);
-    process.exitCode = 1;
+    process.exitCode = error instanceof SettingsError ? INVALID_EXIT : FAILED_EXIT;
   }
 }
 
--- a/src/local/configuration.ts
+++ b/src/local/configuration.ts
@@ -18,17 +18,16 @@
 }
 
 /** The operators' files of a small system: one team, one model, one plain service. */
-export function localFiles(targets: LocalTargets): readonly SourceFile[] {
+export function localFiles(targets: LocalTargets, number = 1): readonly SourceFile[] {
   return [
-    { name: 'places.toml', text: PLACES },
+    { name: 'places.toml', text: `number = ${number}\n${PLACES}` },
     { name: 'programs.toml', text: PROGRAMS },
     { name: 'services.toml', text: SERVICES },
     { name: 'pools.toml', text: pools(targets) },
   ];
 }
 
-const PLACES = `number = 1
-
+const PLACES = `
 [[availability-zone]]
 name = "zone-a"
 region = "local"
--- a/src/local/system.ts
+++ b/src/local/system.ts
@@ -111,7 +111,10 @@
   );
   lifeCycle.add(
     'configuration',
-    createApplier(options.clock, control, [...localFiles(known), ...(options.extraFiles ?? [])]),
+    createApplier(options.clock, control, (number) => [
+      ...localFiles(known, number),
+      ...(options.extraFiles ?? []),
+    ]),
   );
   for (const target of targets) {
     lifeCycle.add(
@@ -176,12 +179,21 @@
   });
 }
 
-/** Applies the local files as an operator would. */
-function createApplier(clock: Clock, control: Address, files: readonly SourceFile[]): Component {
+/** Applies the local files as an operator would, above what a kept data folder has in force. */
+function createApplier(
+  clock: Clock,
+  control: Address,
+  filesFor: (number: number) => readonly SourceFile[],
+): Component {
   return {
     start: async () => {
       const client = clientTo(clock, control, OPERATOR_CREDENTIAL);
-      const input = { number: 1, digest: digestFiles(files), files: [...files] };
+      const current = await client.call((connection, signal) =>
+        connection.configuration.get.query(undefined, { signal }),
+      );
+      const number = (current.configuration?.number ?? 0) + 1;
+      const files = filesFor(number);
+      const input = { number, digest: digestFiles(files), files: [...files] };
       await client.call((connection, signal) =>
         connection.configuration.accept.mutate(input, { signal }),
       );
--- a/src/operator/command.ts
+++ b/src/operator/command.ts
@@ -3,8 +3,10 @@
 import { VERSION } from '../binary/version';
 import { MartenbayError, messageOf } from '../core';
 import { ControlUnavailableError } from '../protocol';
+import { loadSettings } from '../settings';
 import { type ApplyOptions, type CommandOptions, apply, diff, validate } from './apply';
 import { OPERATOR_EXIT, type OperatorExit } from './exit';
+import { operatorSettingsSchema } from './session';
 import { SECTIONS, type Section, get, status } from './read';
 
 const outputOption = () =>
@@ -70,6 +72,15 @@
     .action(async (options: CommandOptions) => {
       finish(await status(options));
     });
+  program
+    .command('validate-settings')
+    .description('check the settings of this command line')
+    .addOption(settingsOption())
+    .action((options: Pick<CommandOptions, 'settings'>) => {
+      loadSettings(operatorSettingsSchema, options.settings);
+      process.stdout.write(`${options.settings}: valid\n`);
+      finish(OPERATOR_EXIT.done);
+    });
   program
     .command('digest-key')
     .description("read a caller's key from standard input and print the digest for a team's file")
--- a/src/sidecar/attempts.ts
+++ b/src/sidecar/attempts.ts
@@ -9,6 +9,9 @@
   /** It was never sent and never will be. */
   | { readonly state: 'revoked' };
 
+/** Whether an attempt may be sent; a used one was sent before, a revoked one never will be. */
+export type Admission = 'admitted' | 'revoked' | 'used';
+
 /** Attempts whose states are kept; the oldest settled one is forgotten beyond that. */
 const ATTEMPT_LIMIT = 4096;
 
@@ -24,10 +27,11 @@
   #answerBytes = 0;
 
   /** Admits an attempt that was neither admitted nor revoked before. */
-  admit(attempt: string): boolean {
-    if (this.#attempts.has(attempt)) return false;
+  admit(attempt: string): Admission {
+    const known = this.#attempts.get(attempt);
+    if (known !== undefined) return known.state === 'revoked' ? 'revoked' : 'used';
     this.#attempts.set(attempt, { state: 'running' });
-    return true;
+    return 'admitted';
   }
 
   /** Takes back an admission: the target provably did not get the call. */
--- a/src/sidecar/gateway.ts
+++ b/src/sidecar/gateway.ts
@@ -42,6 +42,16 @@
   HEADERS.claim,
 ]);
 
+/** Why a call is not admitted, and whether its attempt may have run. */
+interface AdmissionRefusal {
+  readonly outcome: RunOutcome;
+  readonly message: string;
+}
+
+function notRun(message: string): AdmissionRefusal {
+  return { outcome: 'not-run', message };
+}
+
 /** Admits calls to the target, forwards them, and settles calls that may not be repeated. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -91,7 +101,7 @@
     const refusal = this.#refusal(request);
     if (refusal !== undefined) {
       this.#options.metrics.count('calls_refused_total');
-      refuse(response, 503, 'not-run', refusal);
+      refuse(response, 503, refusal.outcome, refusal.message);
       return;
     }
     this.#options.metrics.count('calls_total');
@@ -103,14 +113,20 @@
   }
 
   /** Why a call is not admitted; nothing when it is. */
-  #refusal(request: IncomingMessage): string | undefined {
-    if (this.#leaving) return 'the target is leaving';
-    if (this.running >= this.#options.callsAtOnce) return 'the target is full';
+  #refusal(request: IncomingMessage): AdmissionRefusal | undefined {
+    if (this.#leaving) return notRun('the target is leaving');
+    if (this.running >= this.#options.callsAtOnce) return notRun('the target is full');
     const claim = request.headers[HEADERS.claim];
     if (claim === undefined) return undefined;
-    if (claim !== this.#options.incarnation) return 'the claim is for an earlier sidecar';
-    const attempt = String(request.headers[HEADERS.attempt] ?? '');
-    return this.#attempts.admit(attempt) ? undefined : 'the attempt was revoked or used';
+    if (claim !== this.#options.incarnation) return notRun('the claim is for another incarnation');
+    switch (this.#attempts.admit(String(request.headers[HEADERS.attempt] ?? ''))) {
+      case 'admitted':
+        return undefined;
+      case 'revoked':
+        return notRun('the attempt was revoked');
+      case 'used':
+        return { outcome: 'unknown', message: 'the attempt was sent before' };
+    }
   }
 
   /** Forwards a call that may be repeated; it ends with its caller's connection. */
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -1,4 +1,3 @@
-import * as z from 'zod';
 import {
   type Clock,
   type Component,
@@ -7,7 +6,6 @@
   Metrics,
   type RandomSource,
   delay,
-  messageOf,
   repeat,
 } from '../core';
 import { ConfigurationInForce } from '../configuration';
@@ -22,6 +20,7 @@
 } from '../protocol';
 import type { SidecarSettings } from '../settings';
 import { Gateway } from './gateway';
+import { isEngine, readEngineLoad } from './load';
 import { OrderRunner } from './orders';
 import { TargetClient } from './target-client';
 
@@ -32,8 +31,6 @@
   readonly logger: Logger;
 }
 
-const loadSchema = z.object({ running: z.int(), waiting: z.int() });
-
 /** Pause before orders that failed are asked for again; milliseconds. */
 const ORDER_RETRY_MILLISECONDS = 500;
 
@@ -108,7 +105,9 @@
   lifeCycle.add(
     'load',
     createLoadReader(clock, sidecar['load-milliseconds'], async () => {
-      load = await readLoad(targetClient, gateway, logger);
+      load = isEngine(configuration.current, sidecar.target)
+        ? await readEngineLoad(targetClient, gateway, logger)
+        : { running: gateway.running, waiting: 0 };
     }),
   );
   lifeCycle.add('presence', presence);
@@ -138,14 +137,3 @@
     },
   };
 }
-
-/** Reads the target's own load; a target that reports none has that of the calls under way. */
-async function readLoad(client: TargetClient, gateway: Gateway, logger: Logger): Promise<Load> {
-  try {
-    const parsed = loadSchema.safeParse(await client.json('GET', '/load'));
-    if (parsed.success) return parsed.data;
-  } catch (error) {
-    logger.debug({ event: 'load-unreadable', error: messageOf(error) });
-  }
-  return { running: gateway.running, waiting: 0 };
-}
--- a/src/sidecar/tests/attempts.test.ts
+++ b/src/sidecar/tests/attempts.test.ts
@@ -10,13 +10,13 @@
   });
 
   it('are admitted once', () => {
-    expect(attempts.admit('a')).toBe(true);
-    expect(attempts.admit('a')).toBe(false);
+    expect(attempts.admit('a')).toBe('admitted');
+    expect(attempts.admit('a')).toBe('used');
   });
 
   it('are never admitted after a revocation, however late they come', () => {
     expect(attempts.revoke('a')).toEqual({ state: 'revoked' });
-    expect(attempts.admit('a')).toBe(false);
+    expect(attempts.admit('a')).toBe('revoked');
   });
 
   it('can no longer be revoked once admitted, and tell where they stand', () => {
@@ -30,7 +30,7 @@
     attempts.admit('a');
     attempts.withdraw('a');
     expect(attempts.revoke('a')).toEqual({ state: 'revoked' });
-    expect(attempts.admit('a')).toBe(false);
+    expect(attempts.admit('a')).toBe('revoked');
   });
 
   it('forget old answers before they forget that they ran', () => {
--- a/src/sidecar/tests/gateway.test.ts
+++ b/src/sidecar/tests/gateway.test.ts
@@ -73,9 +73,9 @@
     expect(refused).toMatchObject({ status: 401, outcome: 'not-run' });
   });
 
-  it('runs an attempt once', async () => {
+  it('runs an attempt once, and does not say of a second one that it did not run', async () => {
     expect(await call('a')).toMatchObject({ status: 200, body: { execution: 1 } });
-    expect(await call('a')).toMatchObject({ status: 503, outcome: 'not-run' });
+    expect(await call('a')).toMatchObject({ status: 503, outcome: 'unknown' });
     expect(await settle('a')).toMatchObject({ body: { state: 'answered' } });
   });
 
--- a/stand-ins/engine/server.ts
+++ b/stand-ins/engine/server.ts
@@ -196,8 +196,7 @@
 
   #emit(result: StepResult): void {
     for (const { id, token, last, cachedTokens } of result.emissions) {
-      const broken = this.#streams.get(id)?.token(token, last, cachedTokens);
-      if (broken === true) this.#cancel(id);
+      this.#streams.get(id)?.token(token, last, cachedTokens);
     }
   }
 
--- a/stand-ins/engine/streams.ts
+++ b/stand-ins/engine/streams.ts
@@ -31,16 +31,15 @@
     this.#breakAfter = breaks ? settings['break-after-tokens'] : 0;
   }
 
-  /** Sends one token; returns whether the stream was broken off by a fault. */
-  token(text: string, last: boolean, cachedTokens: number): boolean {
+  /** Sends one token, and breaks the connection off after it if that fault is asked for. */
+  token(text: string, last: boolean, cachedTokens: number): void {
     this.#tokens += 1;
     this.#send(this.#chunk([{ index: 0, delta: { content: text }, finish_reason: null }]));
-    if (this.#breakAfter > 0 && this.#tokens >= this.#breakAfter) {
+    if (this.#tokens === this.#breakAfter) {
       this.#response?.socket?.destroySoon();
-      return true;
+      this.#response = undefined;
     }
     if (last) this.#finish(cachedTokens);
-    return false;
   }
 
   /** Continues on another connection after the first `after` events. */
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -68,6 +68,13 @@
     await expectWholeAnswerAcrossStop('sidecar-engine-1');
   });
 
+  it('of a control host that follows lets the caller read the whole answer', async () => {
+    const { leader } = await system.status();
+    const follower = system.layout.controlMembers.find((member) => member.name !== leader);
+    await expectWholeAnswerAcrossStop(follower?.name ?? '');
+    expect(await system.status()).toMatchObject({ leader });
+  });
+
   it('of the leading control host lets the caller read the whole answer', async () => {
     const { leader } = await system.status();
     await expectWholeAnswerAcrossStop(leader);
--- a/tests/separate-session.test.ts
+++ b/tests/separate-session.test.ts
@@ -1,3 +1,4 @@
+import { request } from 'undici';
 import { INSTANT_ENGINE, LOCAL_KEY, runSession } from '../src/local';
 import type { LogLine } from '../scripts/separate/child';
 import { SeparateSystem } from '../scripts/separate/system';
@@ -10,6 +11,13 @@
   return JSON.stringify({ ...line, time: undefined });
 }
 
+async function readHealth(url: string): Promise<readonly number[]> {
+  const pages = ['/healthz', '/readyz', '/metrics'];
+  const answers = await Promise.all(pages.map((page) => request(`${url}${page}`)));
+  await Promise.all(answers.map((answer) => answer.body.dump()));
+  return answers.map((answer) => answer.statusCode);
+}
+
 describe('a session over separate processes', () => {
   it('is the same on every run, each call at another entry than the one before', async () => {
     const system = await SeparateSystem.start({
@@ -25,12 +33,14 @@
         session.push(normalizer.normalize(line));
       },
     });
+    const pages = await Promise.all(system.ownAddresses.map(readHealth));
     const exitCodes = await system.stop();
     const decisions = system.children
       .filter((child) => child.name.startsWith('entry'))
       .flatMap((child) => child.lines.filter((line) => line['event'] === 'decision'))
       .map((line) => normalizer.normalize(withoutTime(line)));
 
+    expect(new Set(pages.flat())).toEqual(new Set([200]));
     expect(session.join('\n')).toMatchSnapshot('what the caller saw');
     expect(decisions.join('\n')).toMatchSnapshot('decisions of the entries');
     expect(exitCodes).toMatchSnapshot('exit codes after SIGTERM');
