--- a/scripts/separate/layout.ts
+++ b/scripts/separate/layout.ts
@@ -51,127 +51,177 @@
 
 const ZONES = ['zone-a', 'zone-b'] as const;
 
+interface PlacedTarget extends LocalTarget {
+  readonly type: 'engine' | 'plain';
+}
+
+/** Where everything listens. */
+interface Places {
+  readonly controlMembers: Layout['controlMembers'];
+  readonly entryAddresses: readonly Address[];
+  readonly targets: readonly PlacedTarget[];
+}
+
+type Content = Readonly<Record<string, unknown>>;
+
 /** Chooses free addresses, each kind of process on a loopback address of its own. */
 export async function layOut(options: LayoutOptions): Promise<Layout> {
-  const { folder, controls = 3, entries = 2, engines = 2, plain = 1 } = options;
-  const configuration = join(folder, 'configuration');
+  const configuration = join(options.folder, 'configuration');
   await mkdir(configuration, { recursive: true });
+  const places = await choosePlaces(options);
+  const files = localFiles({
+    engines: places.targets.filter((target) => target.type === 'engine'),
+    plain: places.targets.filter((target) => target.type === 'plain'),
+  });
+  for (const { name, text } of files) await writeFile(join(configuration, name), text);
+  const writer = new SettingsWriter(options, places);
+  return {
+    ...places,
+    processCredential: PROCESS_CREDENTIAL,
+    configuration,
+    operatorSettings: await writer.operator(),
+    standIns: await writer.standIns(),
+    controls: await writer.controls(),
+    sidecars: await writer.sidecars(),
+    entries: await writer.entries(),
+  };
+}
+
+async function choosePlaces(options: LayoutOptions): Promise<Places> {
+  const { controls = 3, entries = 2, engines = 2, plain = 1 } = options;
   const targetNames = [
     ...numbered('engine', engines).map((name) => ({ name, type: 'engine' as const })),
     ...numbered('check-in', plain).map((name) => ({ name, type: 'plain' as const })),
   ];
-  const hosts = [
-    ...numbered('', controls).map((_, index) => `127.0.0.${10 + index}`),
-    ...numbered('', entries).map((_, index) => `127.0.0.${20 + index}`),
-    ...targetNames.flatMap((_, index) => [`127.0.0.${30 + index}`, `127.0.0.${30 + index}`]),
-  ];
-  const addresses = await findFreeAddresses(hosts);
-  const controlMembers = numbered('control', controls).map((name, index) => ({
-    name,
-    address: addresses[index] ?? UNUSED,
-  }));
-  const entryAddresses = addresses.slice(controls, controls + entries);
-  const targets = targetNames.map((target, index) => {
-    const [sidecar, address] = addresses.slice(controls + entries + index * 2) as [
-      Address,
-      Address,
-    ];
-    const availabilityZone = ZONES[index % ZONES.length] ?? 'zone-a';
-    return { ...target, availabilityZone, sidecar, address };
-  });
-  for (const file of localFiles({
-    engines: targets.filter((target) => target.type === 'engine'),
-    plain: targets.filter((target) => target.type === 'plain'),
-  })) {
-    await writeFile(join(configuration, file.name), file.text);
+  const addresses = await findFreeAddresses([
+    ...loopbackHosts(10, controls),
+    ...loopbackHosts(20, entries),
+    ...loopbackHosts(30, targetNames.length),
+    ...loopbackHosts(30, targetNames.length),
+  ]);
+  const take = (from: number, index: number) => addresses[from + index] ?? UNUSED;
+  const sidecarsFrom = controls + entries;
+  return {
+    controlMembers: numbered('control', controls).map((name, index) => ({
+      name,
+      address: take(0, index),
+    })),
+    entryAddresses: addresses.slice(controls, sidecarsFrom),
+    targets: targetNames.map((target, index) => ({
+      ...target,
+      availabilityZone: zoneOf(index),
+      sidecar: take(sidecarsFrom, index),
+      address: take(sidecarsFrom + targetNames.length, index),
+    })),
+  };
+}
+
+/** Writes the settings files and plans the processes that read them. */
+class SettingsWriter {
+  readonly #options: LayoutOptions;
+  readonly #places: Places;
+  readonly #cluster: Content;
+
+  constructor(options: LayoutOptions, places: Places) {
+    this.#options = options;
+    this.#places = places;
+    this.#cluster = {
+      control: this.#controlList,
+      'process-credential': PROCESS_CREDENTIAL,
+    };
   }
 
-  const cluster = {
-    control: controlMembers.map(({ name, address }) => ({ name, address: formatAddress(address) })),
-    'process-credential': PROCESS_CREDENTIAL,
-  };
-  const write = async (name: string, content: Readonly<Record<string, unknown>>) => {
-    const file = join(folder, `${name}.toml`);
-    await writeFile(file, stringify(content));
-    return file;
-  };
-  const plan = async (
+  operator(): Promise<string> {
+    const operator = { control: this.#controlList, credential: OPERATOR_CREDENTIAL };
+    return this.#write('operator', { operator });
+  }
+
+  standIns(): Promise<readonly ProcessPlan[]> {
+    const { engineSettings, plainSettings } = this.#options;
+    const plans = this.#places.targets.map(({ name, type, address }) => {
+      const own = type === 'engine' ? engineSettings : { name: 'check-in', ...plainSettings };
+      const content = { address: formatAddress(address), ...own };
+      const command = type === 'engine' ? 'engine' : 'service';
+      return this.#plan(`stand-in-${name}`, 'stand-ins', content, [command]);
+    });
+    return Promise.all(plans);
+  }
+
+  controls(): Promise<readonly ProcessPlan[]> {
+    const plans = this.#places.controlMembers.map(({ name, address }, index) =>
+      this.#plan(name, 'martenbay-control', {
+        host: describeHost(name, zoneOf(index), address),
+        cluster: this.#cluster,
+        control: {
+          'data-folder': join(this.#options.folder, `data-${name}`),
+          'operator-credential': OPERATOR_CREDENTIAL,
+          ...this.#options.controlSettings,
+        },
+      }),
+    );
+    return Promise.all(plans);
+  }
+
+  sidecars(): Promise<readonly ProcessPlan[]> {
+    const plans = this.#places.targets.map(({ name, availabilityZone, sidecar, address }) =>
+      this.#plan(`sidecar-${name}`, 'martenbay-sidecar', {
+        host: describeHost(`sidecar-${name}`, availabilityZone, sidecar),
+        cluster: this.#cluster,
+        sidecar: {
+          target: name,
+          'target-address': formatAddress(address),
+          ...this.#options.sidecarSettings,
+        },
+      }),
+    );
+    return Promise.all(plans);
+  }
+
+  entries(): Promise<readonly ProcessPlan[]> {
+    const plans = this.#places.entryAddresses.map((address, index) =>
+      this.#plan(`entry-${index + 1}`, 'martenbay-entry', {
+        host: describeHost(`entry-${index + 1}`, zoneOf(index), address),
+        cluster: this.#cluster,
+        entry: this.#options.entrySettings ?? {},
+      }),
+    );
+    return Promise.all(plans);
+  }
+
+  get #controlList(): readonly Content[] {
+    return this.#places.controlMembers.map(({ name, address }) => ({
+      name,
+      address: formatAddress(address),
+    }));
+  }
+
+  async #plan(
     name: string,
     binary: string,
-    content: Readonly<Record<string, unknown>>,
+    content: Content,
     command: readonly string[] = [],
-  ): Promise<ProcessPlan> => ({
-    name,
-    binary,
-    arguments: [...command, '--settings', await write(name, content)],
-  });
-  const host = (name: string, zone: string, address: Address) => ({
-    name,
-    'availability-zone': zone,
-    address: formatAddress(address),
-  });
-  const zoneOf = (index: number) => ZONES[index % ZONES.length] ?? 'zone-a';
+  ): Promise<ProcessPlan> {
+    const file = await this.#write(name, content);
+    return { name, binary, arguments: [...command, '--settings', file] };
+  }
 
-  return {
-    controlMembers,
-    entryAddresses,
-    targets,
-    processCredential: PROCESS_CREDENTIAL,
-    configuration,
-    operatorSettings: await write('operator', {
-      operator: { control: cluster.control, credential: OPERATOR_CREDENTIAL },
-    }),
-    standIns: await Promise.all(
-      targets.map(({ name, type, address }) =>
-        plan(
-          `stand-in-${name}`,
-          'stand-ins',
-          {
-            address: formatAddress(address),
-            ...(type === 'engine'
-              ? options.engineSettings
-              : { name: 'check-in', ...options.plainSettings }),
-          },
-          [type === 'engine' ? 'engine' : 'service'],
-        ),
-      ),
-    ),
-    controls: await Promise.all(
-      controlMembers.map(({ name, address }, index) =>
-        plan(name, 'martenbay-control', {
-          host: host(name, zoneOf(index), address),
-          cluster,
-          control: {
-            'data-folder': join(folder, `data-${name}`),
-            'operator-credential': OPERATOR_CREDENTIAL,
-            ...options.controlSettings,
-          },
-        }),
-      ),
-    ),
-    sidecars: await Promise.all(
-      targets.map(({ name, availabilityZone, sidecar, address }) =>
-        plan(`sidecar-${name}`, 'martenbay-sidecar', {
-          host: host(`sidecar-${name}`, availabilityZone, sidecar),
-          cluster,
-          sidecar: {
-            target: name,
-            'target-address': formatAddress(address),
-            ...options.sidecarSettings,
-          },
-        }),
-      ),
-    ),
-    entries: await Promise.all(
-      entryAddresses.map((address, index) =>
-        plan(`entry-${index + 1}`, 'martenbay-entry', {
-          host: host(`entry-${index + 1}`, zoneOf(index), address),
-          cluster,
-          entry: options.entrySettings ?? {},
-        }),
-      ),
-    ),
-  };
+  async #write(name: string, content: Content): Promise<string> {
+    const file = join(this.#options.folder, `${name}.toml`);
+    await writeFile(file, stringify(content));
+    return file;
+  }
+}
+
+function describeHost(name: string, zone: string, address: Address): Content {
+  return { name, 'availability-zone': zone, address: formatAddress(address) };
+}
+
+function zoneOf(index: number): string {
+  return ZONES[index % ZONES.length] ?? 'zone-a';
+}
+
+function loopbackHosts(first: number, count: number): readonly string[] {
+  return Array.from({ length: count }, (_, index) => `127.0.0.${first + index}`);
 }
 
 function numbered(prefix: string, count: number): readonly string[] {
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -1,24 +1,17 @@
 import { join } from 'node:path';
-import {
-  type Clock,
-  LifeCycle,
-  type Logger,
-  Metrics,
-  type RandomSource,
-  messageOf,
-  repeat,
-} from '../core';
+import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource, messageOf } from '../core';
 import { LatencyHistograms } from '../core/latency';
 import { ControlClient, HttpListener, answerHealth } from '../protocol';
 import { ControlListener } from '../protocol/control-listener';
 import { ReplicatedLog } from '../replication';
 import type { ControlSettings } from '../settings';
-import { type Command, type CommandResult, ProgramStateMachine } from '../state';
+import { type CommandResult, ProgramStateMachine } from '../state';
 import { FileRecordStore, type RecordStore } from '../storage';
+import { announce } from './announce';
 import { Notifier } from './notifier';
 import { NodeRegistry } from './registry';
-import { CHANGE_KEYS, ControlService } from './service';
-import { sweepCommands } from './sweep';
+import { ControlService } from './service';
+import { createSweep } from './sweeper';
 import { ControlTransport } from './transport';
 
 export interface ControlProcessOptions {
@@ -110,72 +103,13 @@
   lifeCycle.add('transport', transport);
   lifeCycle.add('notifier', notifier);
   lifeCycle.add('log', log);
-  lifeCycle.add('sweep', createSweep({ options, log, machine, registry, notifier }));
+  lifeCycle.add(
+    'sweep',
+    createSweep({ settings: control, clock, logger, log, machine, registry, notifier }),
+  );
   return lifeCycle;
 }
 
-function announce(notifier: Notifier, machine: ProgramStateMachine, command: Command): void {
-  switch (command.kind) {
-    case 'accept-configuration':
-      notifier.notify(CHANGE_KEYS.configuration);
-      return;
-    case 'forget-programs':
-    case 'confirm-orders':
-      return;
-    case 'create-program':
-      notifier.notify(CHANGE_KEYS.program(command.input.id));
-      return;
-    case 'begin-step':
-    case 'abandon-step':
-    case 'resolve-step':
-      notifier.notify(CHANGE_KEYS.program(command.input.program));
-      return;
-    case 'complete-step':
-    case 'end-program':
-      notifier.notify(CHANGE_KEYS.program(command.input.program));
-      for (const order of machine.tables.orders.values()) {
-        notifier.notify(CHANGE_KEYS.orders(order.target));
-      }
-  }
-}
-
-interface SweepParts {
-  readonly options: ControlProcessOptions;
-  readonly log: ReplicatedLog<CommandResult>;
-  readonly machine: ProgramStateMachine;
-  readonly registry: NodeRegistry;
-  readonly notifier: Notifier;
-}
-
-/** The leader's periodic work: silent sidecars, idle programs. */
-function createSweep(parts: SweepParts) {
-  const { options, log, machine, registry, notifier } = parts;
-  const { clock, logger, settings } = options;
-  const sweep = async () => {
-    if (!log.serves) return;
-    const targets =
-      machine.tables.accepted?.configuration.pools.flatMap((pool) =>
-        pool.targets.map((target) => target.name),
-      ) ?? [];
-    if (registry.expire(targets, clock.monotonic())) notifier.notify(CHANGE_KEYS.directory);
-    const retention = settings.control['retention-seconds'] * 1000;
-    for (const command of sweepCommands(machine.tables, clock.now(), retention)) {
-      await log.propose(JSON.stringify(command)).catch((error: unknown) => {
-        logger.warn({ event: 'sweep-failed', error: messageOf(error) });
-      });
-    }
-  };
-  let cancel: () => void = () => undefined;
-  return {
-    start: () => {
-      cancel = repeat(clock, settings.control['sweep-milliseconds'], sweep);
-    },
-    stop: () => {
-      cancel();
-    },
-  };
-}
-
 function registerGauges(
   metrics: Metrics,
   log: ReplicatedLog<CommandResult>,
