--- a/scripts/separate/child.ts
+++ b/scripts/separate/child.ts
@@ -12,6 +12,8 @@
   readonly #errors: string[] = [];
   readonly #waiting: { readonly matches: (line: LogLine) => boolean; readonly wake: () => void }[] =
     [];
+  /** Resolves once everything that the process wrote was read. */
+  readonly closed: Promise<void>;
   /** Resolves with the exit code, or the signal's name. */
   readonly exited: Promise<number | string>;
 
@@ -24,6 +26,11 @@
         this.#take(text);
       });
     }
+    this.closed = new Promise((resolve) => {
+      this.#process.once('close', () => {
+        resolve();
+      });
+    });
     this.exited = new Promise((resolve) => {
       this.#process.once('exit', (code, signal) => {
         resolve(code ?? signal ?? 'unknown');
