One periodic component; orders are announced only when a program ends

Found and not mended, on docs/PROOFS.md: a turn under way when its program ends leaves cache at an engine that no order releases.

--- a/src/control/announce.ts
+++ b/src/control/announce.ts
@@ -20,10 +20,18 @@
       notifier.notify(CHANGE_KEYS.program(command.input.program));
       return;
     case 'complete-step':
+      notifier.notify(CHANGE_KEYS.program(command.input.program));
+      if (command.input.end) announceOrders(notifier, machine);
+      return;
     case 'end-program':
       notifier.notify(CHANGE_KEYS.program(command.input.program));
-      for (const order of machine.tables.orders.values()) {
-        notifier.notify(CHANGE_KEYS.orders(order.target));
-      }
+      announceOrders(notifier, machine);
+  }
+}
+
+/** Only the end of a program brings new orders. */
+function announceOrders(notifier: Notifier, machine: ProgramStateMachine): void {
+  for (const order of machine.tables.orders.values()) {
+    notifier.notify(CHANGE_KEYS.orders(order.target));
   }
 }
--- a/src/control/sweeper.ts
+++ b/src/control/sweeper.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Component, type Logger, messageOf, repeat } from '../core';
+import { type Clock, type Component, type Logger, PeriodicTask, messageOf } from '../core';
 import type { ReplicatedLog } from '../replication';
 import type { ControlSettings } from '../settings';
 import type { CommandResult, ProgramStateMachine } from '../state';
@@ -20,15 +20,7 @@
 /** The leader's periodic work: silent sidecars, programs that end or are forgotten. */
 export function createSweep(options: SweeperOptions): Component {
   const { clock, settings } = options;
-  let cancel: () => void = () => undefined;
-  return {
-    start: () => {
-      cancel = repeat(clock, settings['sweep-milliseconds'], () => sweep(options));
-    },
-    stop: () => {
-      cancel();
-    },
-  };
+  return new PeriodicTask(clock, settings['sweep-milliseconds'], () => sweep(options));
 }
 
 async function sweep(options: SweeperOptions): Promise<void> {
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -15,5 +15,6 @@
 export { type LogOptions, type Logger, createLogger, createSilentLogger } from './log';
 export { Metrics } from './metrics';
 export { nameSchema } from './name';
+export { PeriodicTask } from './periodic';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
 export { issuesOf, parseDocument } from './toml';
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -1,12 +1,11 @@
 import {
   type Clock,
-  type Component,
   LifeCycle,
   type Logger,
   Metrics,
+  PeriodicTask,
   type RandomSource,
   delay,
-  repeat,
 } from '../core';
 import { ConfigurationInForce } from '../configuration';
 import {
@@ -104,7 +103,7 @@
   lifeCycle.add('listener', listener);
   lifeCycle.add(
     'load',
-    createLoadReader(clock, sidecar['load-milliseconds'], async () => {
+    new PeriodicTask(clock, sidecar['load-milliseconds'], async () => {
       load = isEngine(configuration.current, sidecar.target)
         ? await readEngineLoad(targetClient, gateway, logger)
         : { running: gateway.running, waiting: 0 };
@@ -121,19 +120,3 @@
   });
   return lifeCycle;
 }
-
-function createLoadReader(
-  clock: Clock,
-  milliseconds: number,
-  read: () => Promise<void>,
-): Component {
-  let cancel: () => void = () => undefined;
-  return {
-    start: () => {
-      cancel = repeat(clock, milliseconds, read);
-    },
-    stop: () => {
-      cancel();
-    },
-  };
-}
