Cache left by a turn that outlasts its program is released

Cause: targets that may hold cache of a program were noted only with the answer of a running step. A turn under way when its program ended (or was forgotten), and an attempt that another entry took over, told of their target afterwards, and the state dropped it: no order released that cache, against 'no engine memory stays held for programs that are gone'. Before: three new tests in src/state steps failed, with no order where one or two are due. After: they pass; late answers and failures note their targets, or order the release at once if the program is gone. Left: an entry that dies in the turn takes the name of the engine with it (docs/PROOFS.md).

--- a/src/control/announce.ts
+++ b/src/control/announce.ts
@@ -15,21 +15,18 @@
       notifier.notify(CHANGE_KEYS.program(command.input.id));
       return;
     case 'begin-step':
-    case 'abandon-step':
     case 'resolve-step':
       notifier.notify(CHANGE_KEYS.program(command.input.program));
       return;
+    case 'abandon-step':
     case 'complete-step':
-      notifier.notify(CHANGE_KEYS.program(command.input.program));
-      if (command.input.end) announceOrders(notifier, machine);
-      return;
     case 'end-program':
       notifier.notify(CHANGE_KEYS.program(command.input.program));
       announceOrders(notifier, machine);
   }
 }
 
-/** Only the end of a program brings new orders. */
+/** The end of a program brings orders, and so does a turn that outlasts its program. */
 function announceOrders(notifier: Notifier, machine: ProgramStateMachine): void {
   for (const order of machine.tables.orders.values()) {
     notifier.notify(CHANGE_KEYS.orders(order.target));
--- a/src/state/machine.ts
+++ b/src/state/machine.ts
@@ -54,21 +54,22 @@
 
   #execute(command: Command, index: number): CommandResult {
     const { tables } = this;
+    const applied = { at: command.at, index };
     switch (command.kind) {
       case 'create-program':
         return createProgram(tables, command.input, command.at);
       case 'begin-step':
         return beginStep(tables, command.input, command.displaces, command.at);
       case 'complete-step':
-        return completeStep(tables, command.input, { at: command.at, index });
+        return completeStep(tables, command.input, applied);
       case 'abandon-step':
-        abandonStep(tables, command.input, command.at);
+        abandonStep(tables, command.input, applied);
         return DONE;
       case 'resolve-step':
-        resolveStep(tables, command.input, command.at);
+        resolveStep(tables, command.input, applied);
         return DONE;
       case 'end-program':
-        return endProgram(tables, command.input, { at: command.at, index });
+        return endProgram(tables, command.input, applied);
       case 'accept-configuration':
         return acceptConfiguration(tables, command.input);
       case 'forget-programs':
--- a/src/state/programs.ts
+++ b/src/state/programs.ts
@@ -104,10 +104,7 @@
   }
   tables.children.delete(program.id);
   releaseRunningStep(tables, program);
-  for (const target of program.holders) {
-    const id = `${applied.index}-${program.id}-${target}`;
-    tables.orders.set(id, { id, target, kind: 'release-cache', program: program.id });
-  }
+  orderRelease(tables, program.id, program.holders, applied);
   const steps = new Map([...program.steps].filter(([, step]) => step.state !== 'running'));
   tables.put({
     ...program,
@@ -125,6 +122,37 @@
   }
 }
 
+/**
+ * Notes targets that may hold cache of a program: they are told when it ends, or at once if it has
+ * ended or was forgotten meanwhile.
+ */
+export function noteHolders(
+  tables: Tables,
+  id: string,
+  targets: readonly string[],
+  applied: Applied,
+): void {
+  const program = tables.programs.get(id);
+  if (program === undefined || program.endReason !== undefined) {
+    orderRelease(tables, id, targets, applied);
+    return;
+  }
+  const holders = [...new Set([...program.holders, ...targets])];
+  tables.put({ ...program, holders });
+}
+
+function orderRelease(
+  tables: Tables,
+  program: string,
+  targets: readonly string[],
+  applied: Applied,
+): void {
+  for (const target of targets) {
+    const id = `${applied.index}-${program}-${target}`;
+    tables.orders.set(id, { id, target, kind: 'release-cache', program });
+  }
+}
+
 /** What a step under way reserved counts as spent: its engine may have used all of it. */
 function releaseRunningStep(tables: Tables, program: Program): void {
   const running = [...program.steps.values()].find((step) => step.state === 'running');
--- a/src/state/steps.ts
+++ b/src/state/steps.ts
@@ -2,7 +2,7 @@
 import { reserve, settle } from './budgets';
 import type { AbandonStep, BeginStep, CompleteStep, ResolveStep } from './commands';
 import { type BeginOutcome, type CompleteOutcome, type RunStep, refuse } from './outcomes';
-import { type Applied, createProgram, endOne } from './programs';
+import { type Applied, createProgram, endOne, noteHolders } from './programs';
 import type { Program, RunningStep, Spending, Step } from './records';
 import type { Tables } from './tables';
 
@@ -171,12 +171,10 @@
 ): CompleteOutcome {
   const program = tables.programs.get(input.program);
   const step = program?.steps.get(input.sequence);
-  if (program === undefined || step === undefined) {
-    return { outcome: 'superseded', answer: undefined };
-  }
-  if (step.state === 'done' && step.attempt === input.attempt) return { outcome: 'recorded' };
-  if (step.state !== 'running' || step.attempt !== input.attempt) {
-    return { outcome: 'superseded', answer: step.state === 'done' ? step.answer : undefined };
+  if (step?.state === 'done' && step.attempt === input.attempt) return { outcome: 'recorded' };
+  if (program === undefined || step?.state !== 'running' || step.attempt !== input.attempt) {
+    if (input.usage !== undefined) noteHolders(tables, input.program, [input.target], applied);
+    return { outcome: 'superseded', answer: step?.state === 'done' ? step.answer : undefined };
   }
   const used = usedTokens(input);
   const spending = settle(tables.spendingOf(program), step.reservedTokens, used, 1);
@@ -191,7 +189,6 @@
     contextTokens: engineTurn ? used : program.contextTokens,
     nextSequence: Math.max(program.nextSequence, input.sequence + 1),
     lastTarget: engineTurn ? input.target : program.lastTarget,
-    holders: engineTurn ? [...new Set([...program.holders, input.target])] : program.holders,
   };
   const { sequence, requestDigest, attempt } = step;
   putStep(tables, updated, {
@@ -201,6 +198,7 @@
     attempt,
     answer: input.answer,
   });
+  if (engineTurn) noteHolders(tables, program.id, [input.target], applied);
   if (input.end) endOne(tables, existingProgram(tables, program.id), 'completed', applied);
   return { outcome: 'recorded' };
 }
@@ -210,7 +208,8 @@
 }
 
 /** Takes a running step back, so that the same sequence can be begun again. */
-export function abandonStep(tables: Tables, input: AbandonStep, at: number): void {
+export function abandonStep(tables: Tables, input: AbandonStep, applied: Applied): void {
+  noteHolders(tables, input.program, input.holders, applied);
   const program = tables.programs.get(input.program);
   const step = program?.steps.get(input.sequence);
   if (program === undefined || step?.state !== 'running' || step.attempt !== input.attempt) return;
@@ -222,17 +221,16 @@
   tables.spending.set(program.root, settled);
   const steps = new Map(program.steps);
   steps.delete(input.sequence);
-  const holders = [...new Set([...program.holders, ...input.holders])];
-  tables.put({ ...program, steps, holders, lastActivityAt: at });
+  tables.put({ ...program, steps, lastActivityAt: applied.at });
 }
 
 /** Records what became of an attempt whose entry died. */
-export function resolveStep(tables: Tables, input: ResolveStep, at: number): void {
+export function resolveStep(tables: Tables, input: ResolveStep, applied: Applied): void {
   const program = tables.programs.get(input.program);
   const step = program?.steps.get(input.sequence);
   if (program === undefined || step?.state !== 'running' || step.attempt !== input.attempt) return;
   if (input.finding.kind === 'not-run') {
-    abandonStep(tables, { ...input, spent: false, holders: [] }, at);
+    abandonStep(tables, { ...input, spent: false, holders: [] }, applied);
     return;
   }
   const spending = settle(tables.spendingOf(program), step.reservedTokens, 0, 1);
@@ -244,7 +242,7 @@
       ? { ...base, state: 'done', answer: input.finding.answer }
       : { ...base, state: 'unknown' };
   const nextSequence = Math.max(program.nextSequence, sequence + 1);
-  putStep(tables, { ...program, lastActivityAt: at, nextSequence }, finding);
+  putStep(tables, { ...program, lastActivityAt: applied.at, nextSequence }, finding);
 }
 
 function putStep(tables: Tables, program: Program, step: Step): void {
--- a/src/state/tests/fixture.ts
+++ b/src/state/tests/fixture.ts
@@ -95,6 +95,12 @@
     });
   }
 
+  abandon(step: BeginStep, holders: readonly string[]) {
+    const { program, sequence = 0, attempt } = step;
+    const input = { program, sequence, attempt, spent: true, holders };
+    return this.apply({ kind: 'abandon-step', at: this.now, input });
+  }
+
   /** Digests of a message list, as an entry sends them. */
   static whole(...contents: readonly (readonly [string, string])[]): BeginStep['history'] {
     const messages = contents.map(([role, content]) => ({ role, content }));
--- a/src/state/tests/steps.test.ts
+++ b/src/state/tests/steps.test.ts
@@ -185,6 +185,49 @@
       expect(state.machine.tables.programs.get('p-2')?.endReason).toBe('parent-ended');
     });
 
+    describe('while a turn is under way', () => {
+      function orders() {
+        return [...state.machine.tables.orders.values()];
+      }
+
+      function end() {
+        const input = { program: 'p-1', reason: 'deleted' } as const;
+        state.apply({ kind: 'end-program', at: state.now, input });
+      }
+
+      it('have what the turn left in cache released once its answer comes', () => {
+        const late = state.step('p-1', 1);
+        state.begin(late);
+        end();
+        expect(orders()).toEqual([]);
+        expect(state.complete(late, 'late')).toMatchObject({ outcome: 'superseded' });
+        expect(orders()).toMatchObject([{ target: 'engine-a', program: 'p-1' }]);
+      });
+
+      it('have what a failed turn left in cache released, also once they are forgotten', () => {
+        const late = state.step('p-1', 1);
+        state.begin(late);
+        end();
+        state.apply({ kind: 'forget-programs', at: state.now, programs: ['p-1'] });
+        state.abandon(late, ['engine-a', 'engine-b']);
+        const released = orders().map((order) => order.target);
+        expect(released).toEqual(['engine-a', 'engine-b']);
+      });
+    });
+
+    it('release the cache of an attempt that another took over, too', () => {
+      const dead = state.step('p-1', 1);
+      state.begin(dead);
+      const next = state.step('p-1', 1);
+      state.begin(next, dead.attempt);
+      state.abandon(dead, ['engine-b']);
+      state.complete(next, 'one');
+      const input = { program: 'p-1', reason: 'deleted' } as const;
+      state.apply({ kind: 'end-program', at: state.now, input });
+      const released = [...state.machine.tables.orders.values()].map((order) => order.target);
+      expect(released.sort()).toEqual(['engine-a', 'engine-b']);
+    });
+
     it('keep their answers until they are forgotten', () => {
       const first = state.step('p-1', 1);
       state.begin(first);
