--- a/scripts/separate/child.ts
+++ b/scripts/separate/child.ts
@@ -10,8 +10,10 @@
   readonly #process: ChildProcess;
   readonly #lines: LogLine[] = [];
   readonly #errors: string[] = [];
-  readonly #waiting: { readonly matches: (line: LogLine) => boolean; readonly wake: () => void }[] =
-    [];
+  readonly #waiting: {
+    readonly matches: (line: LogLine) => boolean;
+    readonly wake: (line: LogLine) => void;
+  }[] = [];
   /** Resolves once everything that the process wrote was read. */
   readonly closed: Promise<void>;
   /** Resolves with the exit code, or the signal's name. */
@@ -56,19 +58,16 @@
     this.#process.kill(signal);
   }
 
-  /** Resolves once a log line matches, past ones included; rejects if the process ends first. */
-  async logged(matches: (line: LogLine) => boolean): Promise<void> {
-    if (this.#lines.some(matches)) return;
-    const seen = new Promise<true>((resolve) => {
-      this.#waiting.push({
-        matches,
-        wake: () => {
-          resolve(true);
-        },
-      });
+  /** Resolves with a log line that matches, past ones included; rejects if the process ends first. */
+  async logged(matches: (line: LogLine) => boolean): Promise<LogLine> {
+    const past = this.#lines.find(matches);
+    if (past !== undefined) return past;
+    const seen = new Promise<LogLine>((resolve) => {
+      this.#waiting.push({ matches, wake: resolve });
     });
     const ended = await Promise.race([seen, this.exited]);
-    if (ended !== true) throw new Error(`${this.name} ended (${ended}): ${this.errors}`);
+    if (typeof ended === 'object') return ended;
+    throw new Error(`${this.name} ended (${ended}): ${this.errors}`);
   }
 
   #take(text: string): void {
@@ -79,6 +78,6 @@
       line = { event: 'text', text };
     }
     this.#lines.push(line);
-    for (const waiting of this.#waiting) if (waiting.matches(line)) waiting.wake();
+    for (const waiting of this.#waiting) if (waiting.matches(line)) waiting.wake(line);
   }
 }
--- a/scripts/separate/layout.ts
+++ b/scripts/separate/layout.ts
@@ -37,6 +37,8 @@
   readonly entryAddresses: readonly Address[];
   readonly targets: readonly LocalTarget[];
   readonly processCredential: string;
+  /** Data folder of each control host, in the order of the members. */
+  readonly dataFolders: readonly string[];
   /** Directory of the operators' files. */
   readonly configuration: string;
   /** Settings of the operators' command line. */
@@ -77,6 +79,7 @@
   const writer = new SettingsWriter(options, places);
   return {
     ...places,
+    dataFolders: places.controlMembers.map(({ name }) => dataFolder(options, name)),
     processCredential: PROCESS_CREDENTIAL,
     configuration,
     operatorSettings: await writer.operator(),
@@ -153,7 +156,7 @@
         host: describeHost(name, zoneOf(index), address),
         cluster: this.#cluster,
         control: {
-          'data-folder': join(this.#options.folder, `data-${name}`),
+          'data-folder': dataFolder(this.#options, name),
           'operator-credential': OPERATOR_CREDENTIAL,
           ...this.#options.controlSettings,
         },
@@ -212,6 +215,10 @@
   }
 }
 
+function dataFolder({ folder }: LayoutOptions, name: string): string {
+  return join(folder, `data-${name}`);
+}
+
 function describeHost(name: string, zone: string, address: Address): Content {
   return { name, 'availability-zone': zone, address: formatAddress(address) };
 }
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -6,7 +6,7 @@
 import { ReplicatedLog } from '../replication';
 import type { ControlSettings } from '../settings';
 import { type CommandResult, ProgramStateMachine } from '../state';
-import { FileRecordStore, type RecordStore } from '../storage';
+import { QuarantiningStore, type RecordStore } from '../storage';
 import { announce } from './announce';
 import { Notifier } from './notifier';
 import { NodeRegistry } from './registry';
@@ -41,15 +41,15 @@
     client,
     clock,
     logger,
-    receive: (messages) => {
-      log.receive(messages);
+    receive: (envelopes) => {
+      log.receive(envelopes);
     },
   });
   let leading = false;
   const log = new ReplicatedLog<CommandResult>({
     self: host.name,
-    members: cluster.control.map((member) => member.name),
-    store: options.store ?? new FileRecordStore(join(control['data-folder'], 'log')),
+    hosts: () => cluster.control.map((member) => member.name),
+    store: options.store ?? openStore(options),
     transport,
     machine,
     clock,
@@ -57,12 +57,15 @@
     heartbeatMilliseconds: control['heartbeat-milliseconds'],
     electionMilliseconds: control['election-milliseconds'],
     onChange: () => {
-      const { role, term, leader } = log;
-      logger.info({ event: 'replication', state: role, term, leader });
+      const { role, term, leader, votes } = log;
+      logger.info({ event: 'replication', state: role, term, leader, votes });
       if (role === 'leader' && !leading) registry.reset(clock.monotonic());
       leading = role === 'leader';
       notifier.notifyAll();
     },
+    onMembership: (membership, reason) => {
+      logger.info({ event: 'membership', ...membership, reason });
+    },
     onFailure: (error) => {
       logger.fatal({ event: 'storage-failed', error: messageOf(error) });
       options.onFailure?.();
@@ -110,6 +113,21 @@
   return lifeCycle;
 }
 
+/** The store of this host's own log; only a member that has peers may lose what is damaged. */
+function openStore({ settings, logger }: ControlProcessOptions): RecordStore {
+  const { control, cluster } = settings;
+  return new QuarantiningStore({
+    folder: join(control['data-folder'], 'log'),
+    mayQuarantine: cluster.control.length > 1,
+    onQuarantine: (error, movedTo) => {
+      logger.error({ event: 'storage-quarantined', error: error.message, movedTo });
+    },
+    onTornTail: (file, bytes) => {
+      logger.warn({ event: 'torn-tail-cut', file, bytes });
+    },
+  });
+}
+
 function registerGauges(
   metrics: Metrics,
   log: ReplicatedLog<CommandResult>,
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -11,7 +11,7 @@
   Watch,
   WatchChanges,
 } from '../protocol';
-import { type RaftMessage, type ReplicatedLog, ReplicationError } from '../replication';
+import { type Envelope, type ReplicatedLog, ReplicationError, nameOf } from '../replication';
 import {
   type AbandonStep,
   type AcceptConfiguration,
@@ -213,13 +213,15 @@
       leader: self,
       term: log.term,
       appliedIndex: log.appliedIndex,
+      membership: log.membership,
+      silent: log.silentMembers,
       nodes: registry.nodes(clock.monotonic()),
       tables: machine.tables,
     });
   }
 
-  async deliver(messages: readonly RaftMessage[]): Promise<Delivered> {
-    return { answers: await this.#options.log.exchange(messages) };
+  async deliver(envelopes: readonly Envelope[]): Promise<Delivered> {
+    return { answers: await this.#options.log.exchange(envelopes) };
   }
 
   get #serves(): boolean {
@@ -231,8 +233,9 @@
   }
 
   get #notLeader(): NotLeader {
-    const { leader } = this.#options.log;
-    return { outcome: 'not-leader', leader: leader === this.#options.self ? undefined : leader };
+    const { self, log } = this.#options;
+    const leader = log.leader === undefined ? undefined : nameOf(log.leader);
+    return { outcome: 'not-leader', leader: leader === self ? undefined : leader };
   }
 
   async #note(command: Command): Promise<Noted | NotLeader> {
--- a/src/control/status.ts
+++ b/src/control/status.ts
@@ -1,4 +1,5 @@
 import type { NodeStatus, Status, TeamStatus } from '../protocol';
+import { type Membership, nameOf } from '../replication';
 import type { Program, Tables } from '../state';
 
 /** Share of a budget from which a program counts as near its end. */
@@ -8,13 +9,15 @@
   readonly leader: string;
   readonly term: number;
   readonly appliedIndex: number;
+  readonly membership: Membership;
+  readonly silent: readonly string[];
   readonly nodes: readonly NodeStatus[];
   readonly tables: Tables;
 }
 
 /** Gathers what `martenbay status` shows. */
 export function buildStatus(input: StatusInput): Status {
-  const { leader, term, appliedIndex, nodes, tables } = input;
+  const { leader, term, appliedIndex, membership, silent, nodes, tables } = input;
   const number = tables.accepted?.configuration.number ?? 0;
   const digest = tables.accepted?.configuration.digest ?? '';
   const lagging = nodes
@@ -26,6 +29,9 @@
     leader,
     term,
     appliedIndex,
+    voters: membership.voters.map(nameOf).sort(),
+    learners: membership.learners.map(nameOf).sort(),
+    silent: silent.map(nameOf).sort(),
     configuration: { number, digest },
     nodes,
     lagging,
--- a/src/control/transport.ts
+++ b/src/control/transport.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Logger, messageOf, startTimeout } from '../core';
 import type { ControlClient } from '../protocol';
-import type { Envelope, RaftMessage, ReplicationTransport } from '../replication';
+import { type Envelope, type ReplicationTransport, hostOf } from '../replication';
 
 /** Longest wait for a peer's answers; milliseconds. */
 const DELIVERY_MILLISECONDS = 1000;
@@ -13,7 +13,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   /** Takes a peer's answers. */
-  readonly receive: (messages: readonly RaftMessage[]) => void;
+  readonly receive: (envelopes: readonly Envelope[]) => void;
 }
 
 /**
@@ -22,7 +22,7 @@
  */
 export class ControlTransport implements ReplicationTransport {
   readonly #options: ControlTransportOptions;
-  readonly #queues = new Map<string, RaftMessage[]>();
+  readonly #queues = new Map<string, Envelope[]>();
   readonly #sending = new Set<string>();
   #stopped = false;
 
@@ -31,11 +31,12 @@
   }
 
   send(envelope: Envelope): void {
-    const queue = this.#queues.get(envelope.to) ?? [];
-    queue.push(envelope.message);
+    const peer = hostOf(envelope);
+    const queue = this.#queues.get(peer) ?? [];
+    queue.push(envelope);
     if (queue.length > QUEUE_LIMIT) queue.shift();
-    this.#queues.set(envelope.to, queue);
-    if (!this.#sending.has(envelope.to)) void this.#drain(envelope.to);
+    this.#queues.set(peer, queue);
+    if (!this.#sending.has(peer)) void this.#drain(peer);
   }
 
   stop(): void {
@@ -45,22 +46,22 @@
   async #drain(peer: string): Promise<void> {
     this.#sending.add(peer);
     for (;;) {
-      const messages = this.#queues.get(peer) ?? [];
-      if (messages.length === 0 || this.#stopped) break;
+      const envelopes = this.#queues.get(peer) ?? [];
+      if (envelopes.length === 0 || this.#stopped) break;
       this.#queues.set(peer, []);
-      await this.#deliver(peer, messages);
+      await this.#deliver(peer, envelopes);
     }
     this.#sending.delete(peer);
   }
 
-  async #deliver(peer: string, messages: RaftMessage[]): Promise<void> {
+  async #deliver(peer: string, envelopes: Envelope[]): Promise<void> {
     const { client, clock, logger, receive } = this.#options;
     const { controller, cancel } = startTimeout(clock, DELIVERY_MILLISECONDS);
     try {
       const connection = client.member(peer);
       if (connection === undefined) return;
       const { signal } = controller;
-      const { answers } = await connection.replication.deliver.mutate({ messages }, { signal });
+      const { answers } = await connection.replication.deliver.mutate({ envelopes }, { signal });
       receive(answers);
     } catch (error) {
       logger.debug({ event: 'replication-send-failed', peer, error: messageOf(error) });
--- a/src/core/tests/manual-clock.ts
+++ b/src/core/tests/manual-clock.ts
@@ -26,6 +26,12 @@
     };
   }
 
+  /** Moves time on at once, as it seems to a process that was frozen, then runs what is due. */
+  jump(milliseconds: number): void {
+    this.#now += milliseconds;
+    this.advance(0);
+  }
+
   /** Moves time on, running the timers that come due, earliest first. */
   advance(milliseconds: number): void {
     const end = this.#now + milliseconds;
--- a/src/operator/read.ts
+++ b/src/operator/read.ts
@@ -100,8 +100,14 @@
 
 function statusTables(current: Status): readonly Rows[] {
   const { leader, term, appliedIndex, configuration, lagging, pendingOrders } = current;
+  const { learners, silent } = current;
+  const controls = [...current.voters, ...learners].map((name) => {
+    if (silent.includes(name)) return `${name} (silent)`;
+    return learners.includes(name) ? `${name} (being filled)` : name;
+  });
   const summary: Rows = [
     ['leader', `${leader} (term ${term}, index ${appliedIndex})`],
+    ['control hosts', controls.join(', ')],
     ['configuration', `${configuration.number} ${configuration.digest.slice(0, 12)}`],
     ['lagging', lagging.length === 0 ? 'none' : lagging.join(', ')],
     ['orders waiting', String(pendingOrders)],
--- a/src/protocol/router.ts
+++ b/src/protocol/router.ts
@@ -1,6 +1,6 @@
 import { TRPCError, initTRPC } from '@trpc/server';
 import * as z from 'zod';
-import { raftMessageSchema, type RaftMessage } from '../replication';
+import { type Envelope, envelopeSchema } from '../replication';
 import {
   type AbandonStep,
   type AcceptConfiguration,
@@ -50,7 +50,7 @@
 
 /** A member's answers to replication messages. */
 export interface Delivered {
-  readonly answers: readonly RaftMessage[];
+  readonly answers: readonly Envelope[];
 }
 
 /** What a control host offers to the other processes and to operators. */
@@ -68,7 +68,7 @@
   applyConfiguration(input: AcceptConfiguration): Promise<AcceptOutcome | NotLeader>;
   configurationInForce(): InForce | NotLeader;
   status(): Status | NotLeader;
-  deliver(messages: readonly RaftMessage[]): Promise<Delivered>;
+  deliver(envelopes: readonly Envelope[]): Promise<Delivered>;
 }
 
 /** Who is calling, from the credential shown when the connection was opened. */
@@ -128,8 +128,8 @@
     status: operator.query(() => api.status()),
     replication: t.router({
       deliver: process
-        .input(z.object({ messages: z.array(raftMessageSchema) }))
-        .mutation(({ input }) => api.deliver(input.messages)),
+        .input(z.object({ envelopes: z.array(envelopeSchema) }))
+        .mutation(({ input }) => api.deliver(input.envelopes)),
     }),
   });
 }
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -106,6 +106,11 @@
   readonly leader: string;
   readonly term: number;
   readonly appliedIndex: number;
+  /** Control hosts that vote, and those that are being filled, by name. */
+  readonly voters: readonly string[];
+  readonly learners: readonly string[];
+  /** Those of them that have not answered the leader for a while. */
+  readonly silent: readonly string[];
   readonly configuration: { readonly number: number; readonly digest: string };
   readonly nodes: readonly NodeStatus[];
   readonly lagging: readonly string[];
--- a/src/replication/index.ts
+++ b/src/replication/index.ts
@@ -1,10 +1,14 @@
 export { type ProposalFailure, ReplicationError } from './errors';
-export { type Envelope, type LogEntry, type RaftMessage, raftMessageSchema } from './messages';
+export {
+  type Envelope,
+  type LogEntry,
+  type RaftMessage,
+  envelopeSchema,
+  hostOf,
+  raftMessageSchema,
+} from './messages';
+export { type Membership, allMembers, nameOf } from './membership';
 export type { RaftOutput } from './outbox';
 export { RaftMember, type RaftOptions, type RaftRole } from './raft';
-export {
-  ReplicatedLog,
-  type ReplicatedLogOptions,
-  type ReplicationTransport,
-  type StateMachine,
-} from './replicated-log';
+export type { ReplicatedLogOptions, ReplicationTransport, StateMachine } from './log-options';
+export { ReplicatedLog } from './replicated-log';
--- a/src/replication/outbox.ts
+++ b/src/replication/outbox.ts
@@ -1,24 +1,30 @@
-import type { Envelope, HardState, LogEntry, RaftMessage } from './messages';
+import type { Membership } from './membership';
+import type { HardState, LogEntry, RaftEnvelope, RaftMessage } from './messages';
 
 /** What the driver of a member has to do next, in this order. */
 export interface RaftOutput {
   /** To be sent at once. */
-  readonly messages: readonly Envelope[];
-  /** To be synced; `truncateFrom` goes before the entries. */
+  readonly messages: readonly RaftEnvelope[];
+  /** To be synced, in this order. */
+  readonly founded: Membership | undefined;
   readonly hardState: HardState | undefined;
   readonly truncateFrom: number | undefined;
   readonly entries: readonly LogEntry[];
   /** To be sent only once everything above is synced. */
-  readonly messagesAfterSync: readonly Envelope[];
+  readonly messagesAfterSync: readonly RaftEnvelope[];
+  /** Peers that need entries which were dropped, and so a snapshot. */
+  readonly snapshotsFor: readonly string[];
 }
 
 /** Collects what a member asks of its driver between two calls. */
 export class Outbox {
-  #messages: Envelope[] = [];
-  #messagesAfterSync: Envelope[] = [];
+  #messages: RaftEnvelope[] = [];
+  #messagesAfterSync: RaftEnvelope[] = [];
   #entries: LogEntry[] = [];
   #truncateFrom: number | undefined;
   #hardStateChanged = false;
+  #snapshotsFor: string[] = [];
+  #founded: Membership | undefined;
 
   send(to: string, message: RaftMessage): void {
     this.#messages.push({ to, message });
@@ -29,7 +35,7 @@
   }
 
   addEntries(entries: readonly LogEntry[]): void {
-    this.#entries.push(...entries);
+    for (const entry of entries) this.#entries.push(entry);
   }
 
   truncateFrom(index: number): void {
@@ -41,20 +47,32 @@
     this.#hardStateChanged = true;
   }
 
+  foundedBy(membership: Membership): void {
+    this.#founded = membership;
+  }
+
+  needsSnapshot(peer: string): void {
+    this.#snapshotsFor.push(peer);
+  }
+
   /** Hands out everything collected; `hardState` is the present one. */
   take(hardState: HardState): RaftOutput {
     const output: RaftOutput = {
       messages: this.#messages,
+      founded: this.#founded,
       hardState: this.#hardStateChanged ? hardState : undefined,
       truncateFrom: this.#truncateFrom,
       entries: this.#entries,
       messagesAfterSync: this.#messagesAfterSync,
+      snapshotsFor: this.#snapshotsFor,
     };
     this.#messages = [];
+    this.#founded = undefined;
     this.#messagesAfterSync = [];
     this.#entries = [];
     this.#truncateFrom = undefined;
     this.#hardStateChanged = false;
+    this.#snapshotsFor = [];
     return output;
   }
 }
--- a/src/replication/progress.ts
+++ b/src/replication/progress.ts
@@ -1,20 +1,25 @@
+import { type Membership, allMembers, quorumOf } from './membership';
+
 /** What a leader knows of one peer. */
 export interface Progress {
   nextIndex: number;
   matchIndex: number;
-  /** Sending time of the newest message that the peer has answered. */
+  /** Sending time of the newest message that the peer has answered; none yet: -Infinity. */
   answeredAt: number;
   /** An append with entries is under way; only heartbeats repeat it. */
   inFlight: boolean;
+  /** A snapshot is under way, since entries that the peer needs were dropped. */
+  installing: boolean;
 }
 
-/** A leader's view of its peers, and what a quorum of members has reached. */
+/** A leader's view of its peers, and what a quorum of voters has reached. */
 export class ProgressTable {
-  readonly #quorum: number;
+  readonly #self: string;
   readonly #peers = new Map<string, Progress>();
+  #membership: Membership = { voters: [], learners: [] };
 
-  constructor(quorum: number) {
-    this.#quorum = quorum;
+  constructor(self: string) {
+    this.#self = self;
   }
 
   get peers(): ReadonlyMap<string, Progress> {
@@ -29,38 +34,52 @@
     this.#peers.clear();
   }
 
-  /** Begins a term: nothing is known of the peers' logs yet. */
-  reset(peers: readonly string[], lastIndex: number, now: number): void {
-    this.#peers.clear();
-    for (const peer of peers) {
+  /**
+   * Takes a membership over. Of a peer that is new nothing is known yet; `answeredAt` is what
+   * counts as its last answer until it gives one.
+   */
+  follow(membership: Membership, lastIndex: number, answeredAt: number): void {
+    this.#membership = membership;
+    const members = allMembers(membership).filter((member) => member !== this.#self);
+    for (const peer of [...this.#peers.keys()]) {
+      if (!members.includes(peer)) this.#peers.delete(peer);
+    }
+    for (const peer of members) {
+      if (this.#peers.has(peer)) continue;
       const nextIndex = lastIndex + 1;
-      this.#peers.set(peer, { nextIndex, matchIndex: 0, answeredAt: now, inFlight: false });
+      const unknown = { matchIndex: 0, inFlight: false, installing: false };
+      this.#peers.set(peer, { ...unknown, nextIndex, answeredAt });
     }
   }
 
-  /** Highest index that a quorum has synced, the leader's own included. */
+  /** Highest index that a quorum has synced, the leader's own included if it votes. */
   quorumMatch(ownIndex: number): number {
-    const matches = [...this.#peers.values()].map((progress) => progress.matchIndex);
-    return this.#quorumOf([...matches, ownIndex]);
+    return this.#quorumValue(ownIndex, (progress) => progress.matchIndex);
   }
 
   /** Newest time at which a quorum, the leader included, is known to have followed. */
   quorumAnsweredAt(now: number): number {
-    const times = [...this.#peers.values()].map((progress) => progress.answeredAt);
-    return this.#quorumOf([...times, now]);
+    return this.#quorumValue(now, (progress) => progress.answeredAt);
   }
 
-  /** The peer whose log is furthest along, the most responsive one among equals. */
+  /** The voter whose log is furthest along, the most responsive one among equals. */
   furthest(): readonly [string, Progress] | undefined {
-    const [best] = [...this.#peers].sort(
-      ([, left], [, right]) =>
-        right.matchIndex - left.matchIndex || right.answeredAt - left.answeredAt,
-    );
+    const [best] = [...this.#peers]
+      .filter(([peer]) => this.#membership.voters.includes(peer))
+      .sort(
+        ([, left], [, right]) =>
+          right.matchIndex - left.matchIndex || right.answeredAt - left.answeredAt,
+      );
     return best;
   }
 
-  #quorumOf(values: readonly number[]): number {
-    const sorted = [...values].sort((left, right) => right - left);
-    return sorted[this.#quorum - 1] ?? 0;
+  #quorumValue(own: number, valueOf: (progress: Progress) => number): number {
+    const values = this.#membership.voters.map((voter) => {
+      if (voter === this.#self) return own;
+      const progress = this.#peers.get(voter);
+      return progress === undefined ? -Infinity : valueOf(progress);
+    });
+    const sorted = values.sort((left, right) => right - left);
+    return sorted[quorumOf(this.#membership) - 1] ?? -Infinity;
   }
 }
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -1,57 +1,46 @@
-import { type CancelTimer, type Clock, type Component, type RandomSource, repeat } from '../core';
-import type { RecordStore } from '../storage';
+import { type CancelTimer, type Component, repeat } from '../core';
 import { ReplicationError } from './errors';
-import type { Envelope, LogEntry, RaftMessage } from './messages';
+import { Compactor } from './compactor';
+import { handOver } from './hand-over';
+import { type Membership, identityOf } from './membership';
+import { MembershipKeeper } from './membership-keeper';
+import type { ReplicatedLogOptions } from './log-options';
+import type { Envelope, LogEntry, RaftMessage, SnapshotPart } from './messages';
 import type { RaftOutput } from './outbox';
+import { Proposals } from './proposals';
 import { RaftMember } from './raft';
-import { decodeRecords, encodeRecords } from './records';
+import { type StoredMember, decodeStored, encodeIncarnation, encodeOutput } from './records';
+import { SnapshotExchange } from './snapshot-exchange';
+import { type ReceivedSnapshot, buildInstalledAnswer } from './snapshot-transfer';
 
-/** Carries messages to other members; delivery may fail, repeat or come out of order. */
-export interface ReplicationTransport {
-  send(envelope: Envelope): void;
-}
-
-/** The deterministic state that the log's commands drive. */
-export interface StateMachine<Result> {
-  /** Applies one committed command; `index` counts from 1. */
-  apply(command: string, index: number, term: number): Result;
-}
+/** Silence of a member, in election times, after which it counts as silent. */
+const SILENT_ELECTION_TIMES = 2;
 
-/** What a replicated log is built from; times in milliseconds. */
-export interface ReplicatedLogOptions<Result> {
-  readonly self: string;
-  readonly members: readonly string[];
-  readonly store: RecordStore;
-  readonly transport: ReplicationTransport;
-  readonly machine: StateMachine<Result>;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly heartbeatMilliseconds?: number;
-  readonly electionMilliseconds?: number;
-  /** Called when the role or leader changes. */
-  readonly onChange?: () => void;
-  /** Called once when the disk fails; the member takes no further part. */
-  readonly onFailure?: (error: unknown) => void;
+/** What is made once the store was read. */
+interface Parts {
+  readonly member: RaftMember;
+  readonly snapshots: SnapshotExchange;
+  readonly keeper: MembershipKeeper;
+  readonly compactor: Compactor;
 }
 
 type Send = (envelope: Envelope) => void;
 
-interface Proposal<Result> {
-  readonly term: number;
-  readonly resolve: (result: Result) => void;
-  readonly reject: (error: ReplicationError) => void;
-}
-
 /** Longest wait for another member to take over at a planned stop, in election times. */
 const TRANSFER_ELECTION_TIMES = 4;
 
-/** Runs one {@link RaftMember}: syncs its records, sends its messages, applies what commits. */
+/**
+ * Runs one {@link RaftMember}: syncs its records, sends its messages, applies what commits, takes
+ * and sends snapshots, and brings the membership to the hosts that are listed.
+ */
 export class ReplicatedLog<Result> implements Component {
   readonly #options: ReplicatedLogOptions<Result>;
-  readonly #proposals = new Map<number, Proposal<Result>>();
-  #member: RaftMember | undefined;
+  readonly #proposals = new Proposals<Result>();
+  #incarnation = '';
+  #parts: Parts | undefined;
   #cancelTick: CancelTimer = () => undefined;
   #appliedIndex = 0;
+  #installing = false;
   #syncing: Promise<void> = Promise.resolve();
   #failed = false;
   #lastChange = '';
@@ -62,70 +51,121 @@
   }
 
   async start(): Promise<void> {
-    const { store, clock, heartbeatMilliseconds = 100 } = this.#options;
-    const stored = decodeRecords(await store.load());
-    this.#member = new RaftMember({ ...this.#options, ...stored });
+    const { store, clock, random, machine, heartbeatMilliseconds = 100 } = this.#options;
+    const stored = decodeStored(await store.load());
+    this.#incarnation = stored.incarnation ?? random.hex(8);
+    if (stored.incarnation === undefined) {
+      await store.append([encodeIncarnation(this.#incarnation)]);
+    }
+    this.#parts = this.#build(stored);
+    if (stored.base.index > 0) machine.restore(stored.rows);
+    this.#appliedIndex = stored.base.index;
     this.#member.start(clock.monotonic());
-    void this.#pump();
+    this.#tick();
     this.#cancelTick = repeat(clock, heartbeatMilliseconds / 2, () => {
-      this.#running.tick(clock.monotonic());
-      void this.#pump();
+      this.#tick();
     });
   }
 
+  #build(stored: StoredMember): Parts {
+    const { self, hosts, store, machine, electionMilliseconds = 500 } = this.#options;
+    const { identity } = this;
+    const member = new RaftMember({ ...this.#options, ...stored, self: identity });
+    return {
+      member,
+      snapshots: new SnapshotExchange({ self: identity, send: this.#sendByTransport }),
+      keeper: new MembershipKeeper({
+        self,
+        identity,
+        hosts,
+        send: this.#sendByTransport,
+        silenceMilliseconds: electionMilliseconds * SILENT_ELECTION_TIMES,
+        onChange: (membership, reason) => this.#options.onMembership?.(membership, reason),
+      }),
+      compactor: new Compactor({
+        ...this.#options,
+        incarnation: this.#incarnation,
+        store,
+        member,
+        rows: () => machine.snapshot(),
+      }),
+    };
+  }
+
   /** Hands leadership over, syncs what is under way and closes the store. */
   async stop(): Promise<void> {
-    if (this.#member?.role === 'leader') await this.#handOver();
+    if (this.role === 'leader') await this.#handOver();
     this.#cancelTick();
     this.#failed = true;
-    this.#rejectProposals('uncertain', 'the member is stopping');
+    this.#proposals.rejectAll('the member is stopping');
     await this.#syncing;
     await this.#options.store.close();
   }
 
+  /** This life of this member. */
+  get identity(): string {
+    return identityOf(this.#options.self, this.#incarnation);
+  }
+
   get role(): RaftMember['role'] {
-    return this.#running.role;
+    return this.#parts?.member.role ?? 'follower';
   }
 
   get term(): number {
-    return this.#running.term;
+    return this.#parts?.member.term ?? 0;
   }
 
+  /** Identity of the leader, if one is known. */
   get leader(): string | undefined {
-    return this.#running.leader;
+    return this.#parts?.member.leader;
+  }
+
+  get membership(): Membership {
+    return this.#member.membership;
   }
 
   get appliedIndex(): number {
     return this.#appliedIndex;
   }
 
-  get leaderSince(): number {
-    return this.#running.leaderSince;
+  /** Whether this member counts for a quorum. */
+  get votes(): boolean {
+    return this.membership.voters.includes(this.identity);
+  }
+
+  /** Members that have not answered this leader for a while. */
+  get silentMembers(): readonly string[] {
+    const { member, keeper } = this.#started;
+    return keeper.silentMembers(member, this.#options.clock.monotonic());
+  }
+
+  /** Entries held in memory behind the last snapshot. */
+  get entriesHeld(): number {
+    return this.#member.lastIndex - this.#member.base.index;
   }
 
   /** Whether this member leads and its state holds every acknowledged command. */
   get serves(): boolean {
-    return !this.#failed && this.#running.hasReadLease(this.#options.clock.monotonic());
+    if (this.#failed || this.#parts === undefined) return false;
+    return this.#member.hasReadLease(this.#options.clock.monotonic());
   }
 
   /** Resolves with the state machine's result once the command is committed and applied. */
   propose(command: string): Promise<Result> {
-    return new Promise((resolve, reject) => {
-      const index = this.#failed
-        ? undefined
-        : this.#running.propose(command, this.#options.clock.monotonic());
-      if (index === undefined) {
-        reject(new ReplicationError('not-leader', 'this member does not lead'));
-        return;
-      }
-      this.#proposals.set(index, { term: this.#running.term, resolve, reject });
-      void this.#pump();
-    });
+    const now = this.#options.clock.monotonic();
+    const index = this.#failed ? undefined : this.#member.propose(command, now);
+    if (index === undefined) {
+      const error = new ReplicationError('not-leader', 'this member does not lead');
+      return Promise.reject(error);
+    }
+    const result = this.#proposals.wait(index, this.#member.term);
+    void this.#pump();
+    return result;
   }
 
   /** Takes messages from other members; what they cause goes out through the transport. */
-  receive(messages: readonly RaftMessage[]): void {
-    this.#feed(messages);
+  receive(envelopes: readonly Envelope[]): void {
+    this.#feed(envelopes);
     void this.#pump();
   }
 
@@ -133,35 +173,103 @@
    * Takes messages that one member sent, and resolves with the answers to it once everything they
    * rest on is synced; what they cause for other members goes through the transport.
    */
-  async exchange(messages: readonly RaftMessage[]): Promise<readonly RaftMessage[]> {
-    const asker = messages[0]?.from;
-    const answers: RaftMessage[] = [];
-    this.#feed(messages);
+  async exchange(envelopes: readonly Envelope[]): Promise<readonly Envelope[]> {
+    const asker = envelopes[0]?.message.from;
+    const answers: Envelope[] = [];
+    this.#feed(envelopes);
     await this.#pump((envelope) => {
-      if (envelope.to === asker) answers.push(envelope.message);
+      if (envelope.to === asker) answers.push(envelope);
       else this.#options.transport.send(envelope);
     });
     return answers;
   }
 
-  #feed(messages: readonly RaftMessage[]): void {
-    if (this.#failed || this.#member === undefined) return;
-    for (const message of messages) this.#member.receive(message, this.#options.clock.monotonic());
+  #tick(): void {
+    if (this.#failed || this.#installing) return;
+    const now = this.#options.clock.monotonic();
+    const member = this.#member;
+    member.tick(now);
+    this.#started.snapshots.tick(member.role === 'leader' ? member.term : undefined, now);
+    this.#started.keeper.tick(member, now);
+    void this.#pump();
+  }
+
+  #feed(envelopes: readonly Envelope[]): void {
+    if (this.#failed || this.#installing || this.#parts === undefined) return;
+    const { member, keeper } = this.#parts;
+    const now = this.#options.clock.monotonic();
+    for (const { to, message } of envelopes) {
+      if (message.kind === 'hello') keeper.hear(message, now);
+      else if (to === this.identity) this.#feedOne(member, message, now);
+    }
+  }
+
+  #feedOne(member: RaftMember, message: RaftMessage, now: number): void {
+    member.receive(message, now);
+    if (message.kind === 'snapshot-part') this.#takePart(member, message);
+    else if (message.kind === 'append-answer' && message.success) {
+      this.#started.snapshots.finish(message.from);
+    } else if (message.kind === 'snapshot-answer') {
+      if (!this.#started.snapshots.onAnswer(message, now)) member.snapshotFailed(message.from);
+    }
+  }
+
+  #takePart(member: RaftMember, part: SnapshotPart): void {
+    if (part.term < member.term) return;
+    const received = this.#started.snapshots.onPart(part);
+    if (received !== undefined) this.#syncing = this.#install(member, part, received);
+  }
+
+  /** Until the snapshot is synced this member says nothing: what it would say may rest on it. */
+  async #install(
+    member: RaftMember,
+    part: SnapshotPart,
+    { head, rows }: ReceivedSnapshot,
+  ): Promise<void> {
+    if (head.position.index <= member.commitIndex) {
+      this.#answerInstalled(part, member.commitIndex);
+      return;
+    }
+    this.#installing = true;
+    await this.#syncing;
+    try {
+      await this.#started.compactor.replaceBy(head, rows);
+      member.install(head);
+      this.#options.machine.restore(rows);
+      this.#appliedIndex = head.position.index;
+      this.#answerInstalled(part, head.position.index);
+    } catch (error) {
+      this.#fail(error);
+    } finally {
+      this.#installing = false;
+    }
+  }
+
+  #answerInstalled(part: SnapshotPart, matchIndex: number): void {
+    this.#options.transport.send(buildInstalledAnswer(part, this.identity, matchIndex));
   }
 
-  get #running(): RaftMember {
-    if (this.#member === undefined) throw new Error('The replicated log was not started');
-    return this.#member;
+  get #started(): Parts {
+    if (this.#parts === undefined) throw new Error('The replicated log was not started');
+    return this.#parts;
+  }
+
+  get #member(): RaftMember {
+    return this.#started.member;
   }
 
   /** Carries out what the member asks for; resolves once all of it is synced. */
   #pump(send: Send = this.#sendByTransport): Promise<void> {
-    if (this.#failed || this.#member === undefined) return Promise.resolve();
-    const output = this.#running.takeOutput();
-    for (const envelope of output.messages) this.#options.transport.send(envelope);
+    if (this.#failed || this.#installing || this.#parts === undefined) return Promise.resolve();
+    const output = this.#member.takeOutput();
+    for (const envelope of output.messages) send(envelope);
     const synced = this.#sync(output, send);
     this.#applyCommitted();
+    for (const peer of output.snapshotsFor) this.#sendSnapshot(peer);
     this.#noticeChange();
+    this.#started.compactor.compactWhenDue(this.#appliedIndex).catch((error: unknown) => {
+      this.#fail(error);
+    });
     return synced;
   }
 
@@ -169,16 +277,23 @@
     this.#options.transport.send(envelope);
   };
 
+  #sendSnapshot(peer: string): void {
+    const { machine, clock } = this.#options;
+    const { term } = this.#member;
+    const head = this.#member.headAt(this.#appliedIndex);
+    this.#started.snapshots.begin(peer, term, head, machine.snapshot(), clock.monotonic());
+  }
+
   #sync(output: RaftOutput, send: Send): Promise<void> {
-    const records = encodeRecords(output);
+    const records = encodeOutput(output);
     if (records.length === 0 && output.messagesAfterSync.length === 0) return Promise.resolve();
-    const { lastIndex, lastTerm } = this.#running;
+    const { lastIndex, lastTerm } = this.#member;
     const written = records.length === 0 ? this.#syncing : this.#options.store.append(records);
     this.#syncing = Promise.all([this.#syncing, written]).then(
       () => {
         if (this.#failed) return;
         for (const envelope of output.messagesAfterSync) send(envelope);
-        this.#running.synced(lastIndex, lastTerm);
+        this.#member.synced(lastIndex, lastTerm);
         void this.#pump();
       },
       (error: unknown) => {
@@ -189,60 +304,42 @@
   }
 
   #applyCommitted(): void {
-    const { commitIndex } = this.#running;
+    const { commitIndex } = this.#member;
     if (commitIndex === this.#appliedIndex) return;
-    const entries = this.#running.entriesBetween(this.#appliedIndex + 1, commitIndex);
+    const entries = this.#member.entriesBetween(this.#appliedIndex + 1, commitIndex);
     for (const entry of entries) this.#applyEntry(entry);
   }
 
   #applyEntry(entry: LogEntry): void {
     this.#appliedIndex = entry.index;
-    const proposal = this.#proposals.get(entry.index);
-    this.#proposals.delete(entry.index);
+    this.#started.compactor.noteApplied(entry);
     if (entry.command === '') return;
     const result = this.#options.machine.apply(entry.command, entry.index, entry.term);
-    if (proposal?.term === entry.term) proposal.resolve(result);
-    else proposal?.reject(new ReplicationError('uncertain', 'another leader wrote at this index'));
+    this.#proposals.settle(entry, result);
   }
 
   #noticeChange(): void {
-    const { role, leader, term, ready } = this.#running;
-    const change = `${role} ${leader ?? ''} ${term} ${ready}`;
+    const { role, leader, term, ready } = this.#member;
+    const change = `${role} ${leader ?? ''} ${term} ${ready} ${this.votes}`;
     if (change === this.#lastChange) return;
     this.#lastChange = change;
-    if (role !== 'leader') this.#rejectProposals('uncertain', 'leadership ended before the commit');
+    if (role !== 'leader') this.#proposals.rejectAll('leadership ended before the commit');
     this.#options.onChange?.();
     for (const listener of this.#changeListeners.splice(0)) listener();
   }
 
-  #rejectProposals(failure: 'not-leader' | 'uncertain', message: string): void {
-    const proposals = [...this.#proposals.values()];
-    this.#proposals.clear();
-    for (const proposal of proposals) proposal.reject(new ReplicationError(failure, message));
-  }
-
-  async #handOver(): Promise<void> {
-    const { clock, electionMilliseconds = 500 } = this.#options;
-    const deadline = clock.monotonic() + electionMilliseconds * TRANSFER_ELECTION_TIMES;
-    while (
-      this.role === 'leader' &&
-      this.#options.members.length > 1 &&
-      clock.monotonic() < deadline
-    ) {
-      this.#running.transferLeadership(clock.monotonic());
-      void this.#pump();
-      await this.#changeOrTick();
-    }
-  }
-
-  #changeOrTick(): Promise<void> {
-    const { clock, heartbeatMilliseconds = 100 } = this.#options;
-    return new Promise((resolve) => {
-      const cancel = clock.after(heartbeatMilliseconds, resolve);
-      this.#changeListeners.push(() => {
-        cancel();
-        resolve();
-      });
+  #handOver(): Promise<void> {
+    const { clock, electionMilliseconds = 500, heartbeatMilliseconds = 100 } = this.#options;
+    return handOver({
+      clock,
+      deadlineMilliseconds: electionMilliseconds * TRANSFER_ELECTION_TIMES,
+      pauseMilliseconds: heartbeatMilliseconds,
+      leads: () => this.role === 'leader' && this.#member.membership.voters.length > 1,
+      offer: () => {
+        this.#member.transferLeadership(clock.monotonic());
+        void this.#pump();
+      },
+      onceChanged: (listener) => this.#changeListeners.push(listener),
     });
   }
 
@@ -250,7 +347,7 @@
     if (this.#failed) return;
     this.#failed = true;
     this.#cancelTick();
-    this.#rejectProposals('uncertain', 'the disk failed');
+    this.#proposals.rejectAll('the disk failed');
     this.#options.onFailure?.(error);
   }
 }
--- a/src/replication/tests/cluster.ts
+++ b/src/replication/tests/cluster.ts
@@ -1,128 +1,168 @@
 import { SeededRandom } from '../../core';
-import type { Envelope, HardState, LogEntry } from '../messages';
-import { RaftMember } from '../raft';
+import { ManualClock } from '../../core/tests/manual-clock';
+import { SegmentedStore } from '../../storage';
+import { MemoryDisk } from '../../storage/tests/disk';
+import { type Envelope, ReplicatedLog, hostOf, nameOf } from '..';
+import { ListMachine } from './list-machine';
 
-interface Disk {
-  hardState: HardState;
-  entries: readonly LogEntry[];
-}
-
-interface Unsynced extends Disk {
-  readonly lastIndex: number;
-  readonly lastTerm: number;
-  readonly messages: readonly Envelope[];
-}
-
-interface Node {
+interface Host {
   readonly name: string;
-  member: RaftMember;
-  disk: Disk;
-  unsynced: Unsynced[];
-  /** What the disk will hold once all is synced. */
-  written: Disk;
+  readonly disk: MemoryDisk;
+  clock: ManualClock;
+  machine: ListMachine;
+  log: ReplicatedLog<number>;
   alive: boolean;
   frozen: boolean;
+  /** Time that passed while it was frozen. */
+  missed: number;
 }
 
-/** What a run has shown; every list is in the order it happened. */
+/** What a run has shown. */
 export interface RunReport {
   readonly violations: readonly string[];
-  readonly committed: number;
+  readonly acknowledged: number;
   readonly leaders: number;
+  readonly snapshots: number;
+  readonly wipes: number;
 }
 
 const TICK_MILLISECONDS = 15;
+const HEARTBEAT_MILLISECONDS = 100;
+const SETTLE_ROUNDS = 600;
 
 /**
- * Members over an in-memory network and disk. A seeded schedule delivers messages late, twice, out
- * of order or not at all, cuts links in one or both directions, freezes members and crashes them
- * with the loss of what was not synced.
+ * Whole members, with their drivers and stores, over a network and disks in memory. A seeded
+ * schedule delivers messages late, twice, out of order or not at all, cuts links in one or both
+ * directions, slows disks, freezes hosts, takes their power or their disks, and changes the list
+ * of hosts.
  */
 export class Cluster {
   readonly #random: SeededRandom;
-  readonly #nodes: Node[];
-  readonly #names: readonly string[];
+  readonly #hosts: Host[] = [];
   readonly #cuts = new Set<string>();
+  #names: readonly string[];
   #network: Envelope[] = [];
-  #now = 0;
   #proposals = 0;
+  #wipes = 0;
+  #snapshots = 0;
+  readonly #acknowledged = new Set<string>();
+  readonly #committed = new Map<number, string>();
   readonly #leaderOfTerm = new Map<number, string>();
-  readonly #committed = new Map<number, LogEntry>();
-  readonly #checkedUpTo = new Map<string, number>();
   readonly #violations: string[] = [];
 
-  constructor(seed: number, size: number) {
+  private constructor(seed: number, size: number) {
     this.#random = new SeededRandom(seed);
     this.#names = Array.from({ length: size }, (_, index) => `m${index}`);
-    this.#nodes = this.#names.map((name) => this.#boot(name, emptyDisk()));
   }
 
-  /** Runs a number of random steps, then heals everything and lets the members settle. */
-  run(steps: number): RunReport {
-    for (let step = 0; step < steps; step += 1) this.#randomStep();
-    this.#heal();
-    this.#checkAll();
-    const last = [...this.#committed.keys()].length;
-    if (!this.#nodes.some((node) => node.member.ready))
-      this.#violations.push('no leader at the end');
+  /** Runs a number of random steps, then mends everything and lets the members settle. */
+  static async run(seed: number, size: number, steps: number): Promise<RunReport> {
+    const cluster = new Cluster(seed, size);
+    for (const name of cluster.#names) await cluster.#add(name);
+    await cluster.#settle();
+    for (let step = 0; step < steps; step += 1) {
+      await cluster.#randomStep();
+      await flush();
+      cluster.#check();
+    }
+    await cluster.#settle();
+    cluster.#checkEnd();
+    return cluster.#report();
+  }
+
+  #report(): RunReport {
     return {
       violations: this.#violations,
-      committed: last,
+      acknowledged: this.#acknowledged.size,
       leaders: this.#leaderOfTerm.size,
+      snapshots: this.#snapshots,
+      wipes: this.#wipes,
     };
   }
 
-  #boot(name: string, disk: Disk): Node {
-    const member = new RaftMember({
+  async #add(name: string): Promise<void> {
+    const host = { name, disk: new MemoryDisk(), frozen: false, alive: false, missed: 0 };
+    const parts = this.#build(name, host.disk);
+    const added: Host = { ...host, ...parts };
+    this.#hosts.push(added);
+    await this.#start(added);
+  }
+
+  #build(name: string, disk: MemoryDisk): Pick<Host, 'clock' | 'machine' | 'log'> {
+    const clock = new ManualClock();
+    clock.advance(this.#random.fraction() * 10_000);
+    const machine = new ListMachine((index, command) => {
+      this.#note(index, command);
+    });
+    const log = new ReplicatedLog<number>({
       self: name,
-      members: this.#names,
+      hosts: () => this.#names,
+      store: new SegmentedStore({ folder: '/log', fileSystem: disk.mount(), segmentBytes: 2000 }),
+      transport: { send: (envelope) => this.#network.push(envelope) },
+      machine,
+      clock,
       random: this.#random,
-      heartbeatMilliseconds: 100,
+      heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
       electionMilliseconds: 500,
-      hardState: disk.hardState,
-      entries: disk.entries,
+      snapshotEntries: 12,
     });
-    member.start(this.#now);
-    this.#checkedUpTo.set(name, 0);
-    return { name, member, disk, unsynced: [], written: disk, alive: true, frozen: false };
+    return { clock, machine, log };
   }
 
-  #randomStep(): void {
+  async #start(host: Host): Promise<void> {
+    host.disk.slow = false;
+    await host.log.start();
+    host.disk.slow = true;
+    host.alive = true;
+  }
+
+  async #restart(host: Host): Promise<void> {
+    Object.assign(host, this.#build(host.name, host.disk));
+    await this.#start(host);
+  }
+
+  /** One entry to a committed index, for ever. */
+  #note(index: number, command: string): void {
+    const known = this.#committed.get(index);
+    if (known === undefined) this.#committed.set(index, command);
+    else if (known !== command)
+      this.#violations.push(`index ${index} was committed as two entries`);
+  }
+
+  async #randomStep(): Promise<void> {
     const choice = this.#random.fraction();
-    const node = this.#pick(this.#nodes);
-    if (node === undefined) return;
-    if (choice < 0.5) this.#deliverSome();
-    else if (choice < 0.62) this.#tick();
-    else if (choice < 0.82) this.#syncSome(node);
-    else if (choice < 0.94) this.#propose(node);
+    const host = this.#pick(this.#hosts);
+    if (choice < 0.42) this.#deliverSome();
+    else if (choice < 0.6) this.#tick();
+    else if (choice < 0.8) for (const other of this.#hosts) this.#letGo(other);
+    else if (choice < 0.94) this.#propose(host);
     else if (choice < 0.945) this.#cut();
-    else if (choice < 0.95) node.frozen = true;
-    else if (choice < 0.955) this.#crash(node);
-    else if (choice < 0.975) this.#mend(node);
-    else if (choice < 0.985) {
-      this.#act(node, (member) => {
-        member.transferLeadership(this.#now);
-      });
-    } else this.#network.splice(Math.floor(this.#random.fraction() * this.#network.length), 1);
+    else if (choice < 0.947) host.frozen = host.alive;
+    else if (choice < 0.951) this.#crash(host);
+    else if (choice < 0.952) for (const other of this.#hosts) this.#crash(other);
+    else if (choice < 0.957) this.#wipe(host);
+    else if (choice < 0.975) await this.#mend(this.#broken ?? host);
+    else if (choice < 0.978) await this.#changeNames();
+    else this.#network.splice(Math.floor(this.#random.fraction() * this.#network.length), 1);
   }
 
   #tick(): void {
-    this.#now += TICK_MILLISECONDS * (1 + Math.floor(this.#random.fraction() * 3));
-    for (const node of this.#nodes) {
-      this.#act(node, (member) => {
-        member.tick(this.#now);
-      });
-    }
+    const milliseconds = TICK_MILLISECONDS * (1 + Math.floor(this.#random.fraction() * 5));
+    for (const host of this.#hosts) this.#pass(host, milliseconds);
   }
 
-  #deliverSome(): void {
-    const count = 1 + Math.floor(this.#random.fraction() * 8);
-    for (let index = 0; index < count; index += 1) this.#deliverOne();
+  #pass(host: Host, milliseconds: number): void {
+    if (host.frozen) host.missed += milliseconds;
+    else if (host.alive) host.clock.advance(milliseconds);
+  }
+
+  #letGo(host: Host): void {
+    if (!host.frozen) host.disk.letGo(1 + Math.floor(this.#random.fraction() * 10));
   }
 
-  #syncSome(node: Node): void {
-    const count = Math.ceil(this.#random.fraction() * node.unsynced.length);
-    for (let index = 0; index < count; index += 1) this.#syncOne(node);
+  #deliverSome(): void {
+    const count = 1 + Math.floor(this.#random.fraction() * 16);
+    for (let index = 0; index < count; index += 1) this.#deliverOne();
   }
 
   #deliverOne(): void {
@@ -135,134 +175,133 @@
   }
 
   #deliver(envelope: Envelope): void {
-    if (this.#cuts.has(`${envelope.message.from}>${envelope.to}`)) return;
-    const node = this.#nodes.find((entry) => entry.name === envelope.to);
-    if (node === undefined) return;
-    this.#act(node, (member) => {
-      member.receive(envelope.message, this.#now);
-    });
+    const to = hostOf(envelope);
+    if (this.#cuts.has(`${nameOf(envelope.message.from)}>${to}`)) return;
+    const host = this.#hosts.find((entry) => entry.name === to);
+    if (host?.alive === true && !host.frozen) host.log.receive([envelope]);
   }
 
-  #propose(node: Node): void {
+  #propose(host: Host): void {
+    if (!host.alive || host.frozen) return;
     this.#proposals += 1;
-    this.#act(node, (member) => {
-      member.propose(`command ${this.#proposals}`, this.#now);
-    });
+    const command = `command ${this.#proposals}`;
+    host.log.propose(command).then(
+      () => this.#acknowledged.add(command),
+      () => undefined,
+    );
   }
 
-  /** Lets a member act and takes over what it asks for. */
-  #act(node: Node, action: (member: RaftMember) => void): void {
-    if (!node.alive || node.frozen) return;
-    action(node.member);
-    const output = node.member.takeOutput();
-    this.#network.push(...output.messages);
-    const changed =
-      output.hardState !== undefined ||
-      output.truncateFrom !== undefined ||
-      output.entries.length > 0;
-    if (changed || output.messagesAfterSync.length > 0) {
-      const { truncateFrom } = output;
-      const kept =
-        truncateFrom === undefined
-          ? node.written.entries
-          : node.written.entries.slice(0, truncateFrom - 1);
-      node.written = {
-        hardState: output.hardState ?? node.written.hardState,
-        entries: [...kept, ...output.entries],
-      };
-      const { lastIndex, lastTerm } = node.member;
-      node.unsynced.push({
-        ...node.written,
-        lastIndex,
-        lastTerm,
-        messages: output.messagesAfterSync,
-      });
-    }
-    this.#check(node);
+  #crash(host: Host): void {
+    if (!host.alive) return;
+    host.alive = false;
+    host.frozen = false;
+    host.disk.crash(this.#random);
   }
 
-  #syncOne(node: Node): void {
-    const first = node.unsynced.shift();
-    if (first === undefined || !node.alive || node.frozen) {
-      if (first !== undefined) node.unsynced.unshift(first);
-      return;
-    }
-    node.disk = { hardState: first.hardState, entries: first.entries };
-    this.#network.push(...first.messages);
-    this.#act(node, (member) => {
-      member.synced(first.lastIndex, first.lastTerm);
-    });
+  /** Takes a disk away, unless a disk that was taken before is not filled again yet. */
+  #wipe(host: Host): void {
+    if (!this.#allAreVoters()) return;
+    this.#crash(host);
+    host.disk.wipe();
+    this.#wipes += 1;
   }
 
-  /** What was not synced is lost. */
-  #crash(node: Node): void {
-    node.alive = false;
-    node.unsynced = [];
+  #allAreVoters(): boolean {
+    const leader = this.#hosts.find((host) => host.alive && !host.frozen && host.log.serves);
+    const voters = leader?.log.membership.voters ?? [];
+    const identities = this.#hosts.map((host) => host.log.identity);
+    const enough = this.#names.length >= 3;
+    return (
+      enough &&
+      this.#hosts.every((host) => host.alive) &&
+      identities.every((identity) => voters.includes(identity))
+    );
   }
 
-  #mend(node: Node): void {
+  get #broken(): Host | undefined {
+    return this.#hosts.find((host) => host.frozen || !host.alive);
+  }
+
+  async #mend(host: Host): Promise<void> {
     this.#cuts.clear();
-    node.frozen = false;
-    if (!node.alive) Object.assign(node, this.#boot(node.name, node.disk));
+    if (host.frozen) {
+      host.frozen = false;
+      host.clock.jump(host.missed);
+      host.missed = 0;
+    }
+    if (!host.alive) await this.#restart(host);
   }
 
   #cut(): void {
-    const from = this.#pick(this.#names);
-    const to = this.#pick(this.#names);
-    this.#cuts.add(`${from ?? ''}>${to ?? ''}`);
+    this.#cuts.add(`${this.#pick(this.#names)}>${this.#pick(this.#names)}`);
   }
 
-  #heal(): void {
-    for (const node of this.#nodes) this.#mend(node);
-    for (let round = 0; round < 400; round += 1) {
-      this.#now += TICK_MILLISECONDS;
-      for (const node of this.#nodes) {
-        this.#act(node, (member) => {
-          member.tick(this.#now);
-        });
-        while (node.unsynced.length > 0) this.#syncOne(node);
+  /** Lists one host more, or takes the additional one off the list. */
+  async #changeNames(): Promise<void> {
+    const extra = 'm9';
+    if (this.#names.includes(extra)) {
+      this.#names = this.#names.filter((name) => name !== extra);
+      return;
+    }
+    this.#names = [...this.#names, extra];
+    if (!this.#hosts.some((host) => host.name === extra)) await this.#add(extra);
+  }
+
+  async #settle(): Promise<void> {
+    for (const host of this.#hosts) await this.#mend(host);
+    for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
+      for (const host of this.#hosts) {
+        this.#pass(host, TICK_MILLISECONDS);
+        host.disk.letGo();
       }
       for (const envelope of this.#network.splice(0)) this.#deliver(envelope);
+      await flush();
+      this.#check();
     }
   }
 
-  #checkAll(): void {
-    for (const node of this.#nodes) this.#check(node);
-    const indexes = this.#nodes.map((node) => node.member.commitIndex);
-    if (new Set(indexes).size > 1)
-      this.#violations.push(`commit indexes differ: ${indexes.join()}`);
+  #check(): void {
+    const running = this.#hosts.filter((host) => host.alive && !host.frozen);
+    for (const { log, name } of running) {
+      if (log.role !== 'leader') continue;
+      const known = this.#leaderOfTerm.get(log.term);
+      const differs = known !== undefined && known !== log.identity;
+      if (differs) this.#violations.push(`term ${log.term} has leaders ${known} and ${name}`);
+      this.#leaderOfTerm.set(log.term, log.identity);
+      if (log.entriesHeld < log.appliedIndex) this.#snapshots += 1;
+    }
+    if (running.filter((host) => host.log.serves).length > 1) {
+      this.#violations.push('two members hold a read lease');
+    }
   }
 
-  /** One leader to a term, and one entry to a committed index, for ever. */
-  #check(node: Node): void {
-    const { member, name } = node;
-    if (member.role === 'leader') {
-      const known = this.#leaderOfTerm.get(member.term);
-      if (known !== undefined && known !== name) {
-        this.#violations.push(`term ${member.term} has leaders ${known} and ${name}`);
-      }
-      this.#leaderOfTerm.set(member.term, name);
-      const first = this.#nodes.filter(
-        (other) => other.alive && !other.frozen && other.member.hasReadLease(this.#now),
-      );
-      if (first.length > 1) this.#violations.push('two members hold a read lease');
+  #checkEnd(): void {
+    const listed = this.#hosts.filter((host) => this.#names.includes(host.name));
+    const leader = listed.find((host) => host.log.serves);
+    if (leader === undefined) {
+      this.#violations.push('no leader at the end');
+      return;
     }
-    const from = (this.#checkedUpTo.get(name) ?? 0) + 1;
-    for (const entry of member.entriesBetween(from, member.commitIndex)) {
-      const known = this.#committed.get(entry.index);
-      if (known === undefined) this.#committed.set(entry.index, entry);
-      else if (known.term !== entry.term || known.command !== entry.command) {
-        this.#violations.push(`index ${entry.index} was committed as two entries`);
-      }
+    const voters = leader.log.membership.voters.map(nameOf).sort();
+    if (voters.join() !== [...this.#names].sort().join()) {
+      this.#violations.push(`voters at the end: ${voters.join()}, listed: ${this.#names.join()}`);
+    }
+    for (const { name, machine } of listed) {
+      const commands = new Set(machine.commands);
+      if (commands.size !== machine.commands.length) this.#violations.push(`${name} repeats`);
+      const lost = [...this.#acknowledged].filter((command) => !commands.has(command));
+      if (lost.length > 0) this.#violations.push(`${name} lost ${lost.join()}`);
     }
-    this.#checkedUpTo.set(name, Math.max(from - 1, member.commitIndex));
   }
 
-  #pick<T>(values: readonly T[]): T | undefined {
-    return values[Math.floor(this.#random.fraction() * values.length)];
+  #pick<T>(values: readonly T[]): T {
+    return values[Math.floor(this.#random.fraction() * values.length)] as T;
   }
 }
 
-function emptyDisk(): Disk {
-  return { hardState: { term: 0, votedFor: undefined }, entries: [] };
+/** Lets everything run that waits for nothing but its turn. */
+function flush(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
 }
--- a/src/replication/tests/rules.test.ts
+++ b/src/replication/tests/rules.test.ts
@@ -11,7 +11,7 @@
 function createMember(entries: readonly LogEntry[], term: number): RaftMember {
   const member = new RaftMember({
     self: 'a',
-    members: ['a', 'b', 'c'],
+    membership: { voters: ['a', 'b', 'c'], learners: [] },
     random: new SeededRandom(1),
     electionMilliseconds: ELECTION,
     hardState: { term, votedFor: undefined },
--- a/src/state/machine.ts
+++ b/src/state/machine.ts
@@ -11,6 +11,7 @@
 } from './outcomes';
 import { createProgram, endProgram, forgetPrograms } from './programs';
 import { abandonStep, beginStep, completeStep, resolveStep } from './steps';
+import { restoreTables, snapshotTables } from './snapshot';
 import { Tables } from './tables';
 
 /** A command that has nothing to tell. */
@@ -37,14 +38,27 @@
 
 /** The state that the replicated log drives: equal logs give equal states. */
 export class ProgramStateMachine implements StateMachine<CommandResult> {
-  readonly tables = new Tables();
   readonly #onApplied: (command: Command) => void;
+  #tables = new Tables();
 
   /** `onApplied` runs after each command, at every member. */
   constructor(onApplied: (command: Command) => void = () => undefined) {
     this.#onApplied = onApplied;
   }
 
+  get tables(): Tables {
+    return this.#tables;
+  }
+
+  snapshot(): Iterable<string> {
+    return snapshotTables(this.#tables);
+  }
+
+  restore(rows: readonly string[]): void {
+    this.#tables = new Tables();
+    restoreTables(this.#tables, rows);
+  }
+
   apply(text: string, index: number): CommandResult {
     const command = commandSchema.parse(JSON.parse(text));
     const result = this.#execute(command, index);
--- a/src/state/programs.ts
+++ b/src/state/programs.ts
@@ -49,7 +49,7 @@
     endReason: undefined,
     endedAt: undefined,
     messages: [],
-    digests: [],
+    digest: '',
     contextTokens: 0,
     steps: new Map(),
     nextSequence: 1,
@@ -112,7 +112,7 @@
     endedAt: applied.at,
     steps,
     messages: [],
-    digests: [],
+    digest: '',
     holders: [],
   });
   const siblings = program.parent === undefined ? undefined : tables.children.get(program.parent);
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -105,8 +105,8 @@
   readonly endReason: EndReason | undefined;
   readonly endedAt: number | undefined;
   readonly messages: readonly Message[];
-  /** Digests of the prefixes of `messages`. */
-  readonly digests: readonly string[];
+  /** Digest of the whole list of messages; empty before the first. */
+  readonly digest: string;
   /** Tokens of the history at the last answer. */
   readonly contextTokens: number;
   readonly steps: ReadonlyMap<number, Step>;
--- a/src/state/steps.ts
+++ b/src/state/steps.ts
@@ -103,9 +103,9 @@
 
 function extendsHistory(program: Program, input: BeginStep): boolean {
   if (input.history.kind !== 'whole') return true;
-  const stored = program.digests.length;
+  const stored = program.messages.length;
   if (stored === 0) return true;
-  return input.history.digests[stored - 1] === program.digests[stored - 1];
+  return input.history.digests[stored - 1] === program.digest;
 }
 
 function describeRun(program: Program, sequence: number, input: BeginStep): RunStep {
@@ -179,13 +179,12 @@
   const used = usedTokens(input);
   const spending = settle(tables.spendingOf(program), step.reservedTokens, used, 1);
   tables.spending.set(program.root, spending);
-  const lastDigest = program.digests.at(-1) ?? '';
   const engineTurn = input.usage !== undefined;
   const updated: Program = {
     ...program,
     lastActivityAt: applied.at,
     messages: [...program.messages, ...input.messages],
-    digests: [...program.digests, ...digestPrefixes(input.messages, lastDigest)],
+    digest: digestPrefixes(input.messages, program.digest).at(-1) ?? program.digest,
     contextTokens: engineTurn ? used : program.contextTokens,
     nextSequence: Math.max(program.nextSequence, input.sequence + 1),
     lastTarget: engineTurn ? input.target : program.lastTarget,
--- /dev/null
+++ b/src/storage/file-system.ts
@@ -0,0 +1,97 @@
+import { type FileHandle, mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
+import { dirname } from 'node:path';
+
+/** A file that is being written at its end. */
+export interface AppendFile {
+  /** Writes all bytes; they last once {@link sync} has resolved. */
+  append(bytes: Buffer): Promise<void>;
+  sync(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** What the storage needs of a disk; every method rejects with the system's own error. */
+export interface FileSystem {
+  /** Makes a folder that lasts, with those above it. */
+  ensureFolder(folder: string): Promise<void>;
+  list(folder: string): Promise<readonly string[]>;
+  read(file: string): Promise<Buffer>;
+  /** Makes an empty file; its name lasts once the folder is synced. */
+  create(file: string): Promise<AppendFile>;
+  /** Opens a file for appending after cutting it to `length` bytes. */
+  openAt(file: string, length: number): Promise<AppendFile>;
+  rename(from: string, to: string): Promise<void>;
+  /** Removes a file or folder, if it is there. */
+  remove(path: string): Promise<void>;
+  syncFolder(folder: string): Promise<void>;
+}
+
+/** The machine's disk. */
+export class NodeFileSystem implements FileSystem {
+  async ensureFolder(folder: string): Promise<void> {
+    const first = await mkdir(folder, { recursive: true });
+    if (first === undefined) return;
+    for (let path = folder; path.length >= first.length; path = dirname(path)) {
+      await this.syncFolder(dirname(path));
+    }
+  }
+
+  list(folder: string): Promise<readonly string[]> {
+    return readdir(folder);
+  }
+
+  read(file: string): Promise<Buffer> {
+    return readFile(file);
+  }
+
+  async create(file: string): Promise<AppendFile> {
+    return new NodeAppendFile(await open(file, 'w'));
+  }
+
+  async openAt(file: string, length: number): Promise<AppendFile> {
+    const handle = await open(file, 'a');
+    await handle.truncate(length);
+    await handle.sync();
+    return new NodeAppendFile(handle);
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return rename(from, to);
+  }
+
+  remove(path: string): Promise<void> {
+    return rm(path, { recursive: true, force: true });
+  }
+
+  async syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+}
+
+class NodeAppendFile implements AppendFile {
+  readonly #handle: FileHandle;
+
+  constructor(handle: FileHandle) {
+    this.#handle = handle;
+  }
+
+  async append(bytes: Buffer): Promise<void> {
+    let written = 0;
+    while (written < bytes.length) {
+      const result = await this.#handle.write(bytes, written);
+      written += result.bytesWritten;
+    }
+  }
+
+  sync(): Promise<void> {
+    return this.#handle.datasync();
+  }
+
+  close(): Promise<void> {
+    return this.#handle.close();
+  }
+}
--- a/src/storage/frame.ts
+++ b/src/storage/frame.ts
@@ -1,38 +1,76 @@
 import { buf as crc32 } from 'crc-32';
 
+/** First bytes of every file: a mark and the format version. */
+export const FILE_MARK = Buffer.from('MARTLOG\u0002', 'latin1');
+
+/** First bytes of every frame, by which a search finds frames behind damage. */
+const FRAME_MARK = Buffer.from([0xb5, 0x4d, 0x46, 0x52]);
+
 /**
- * A frame is a 4-byte length, a 4-byte CRC-32 of the payload (both big-endian) and the payload.
+ * A frame is the frame mark, a 4-byte length, a 4-byte CRC-32 of the payload (both big-endian) and
+ * the payload, which is never empty. It holds records of JSON text, one a line, and is the unit of
+ * one sync: a frame begins to be written only once the frame before it is synced.
  */
-export const FRAME_HEADER_BYTES = 8;
+const FRAME_HEADER_BYTES = 12;
 
 /** Largest payload; a longer length field can only be damage. */
-export const PAYLOAD_LIMIT_BYTES = 64 * 1024 * 1024;
+const PAYLOAD_LIMIT_BYTES = 256 * 1024 * 1024;
 
-/** Wraps a payload in a frame. */
-export function encodeFrame(payload: Buffer): Buffer {
+/** Wraps records in a frame. */
+export function encodeFrame(records: readonly string[]): Buffer {
+  const payload = Buffer.from(records.join('\n'));
   const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
-  header.writeUInt32BE(payload.length, 0);
-  header.writeInt32BE(crc32(payload), 4);
+  FRAME_MARK.copy(header, 0);
+  header.writeUInt32BE(payload.length, 4);
+  header.writeInt32BE(crc32(payload), 8);
   return Buffer.concat([header, payload]);
 }
 
-/** What a frame at some offset turned out to be. */
-export type FrameReading =
-  | { readonly kind: 'frame'; readonly payload: Buffer; readonly end: number }
-  /** The file ends inside the frame: a write that was cut off. */
-  | { readonly kind: 'torn' }
-  /** The bytes are all there, but not those that were written. */
-  | { readonly kind: 'damaged' };
+/** What a file holds. */
+export interface FileReading {
+  readonly records: readonly string[];
+  /** End of the last whole frame, in bytes; what follows was never acknowledged. */
+  readonly end: number;
+  /** Offset of a damaged frame that whole ones follow, so that it was acknowledged. */
+  readonly damagedAt: number | undefined;
+}
+
+/** Reads every frame of a file, from behind its mark. */
+export function decodeFile(bytes: Buffer): FileReading {
+  const records: string[] = [];
+  let offset = FILE_MARK.length;
+  for (;;) {
+    const frame = decodeFrame(bytes, offset);
+    if (frame === undefined) break;
+    records.push(...frame.payload.toString().split('\n'));
+    offset = frame.end;
+  }
+  const damaged = offset < bytes.length && hasFrameAfter(bytes, offset + 1);
+  return { records, end: offset, damagedAt: damaged ? offset : undefined };
+}
 
-/** Reads the frame that starts at `offset`. */
-export function decodeFrame(bytes: Buffer, offset: number): FrameReading {
+interface Frame {
+  readonly payload: Buffer;
+  readonly end: number;
+}
+
+function decodeFrame(bytes: Buffer, offset: number): Frame | undefined {
   const start = offset + FRAME_HEADER_BYTES;
-  if (start > bytes.length) return { kind: 'torn' };
-  const length = bytes.readUInt32BE(offset);
-  if (length > PAYLOAD_LIMIT_BYTES) return { kind: 'damaged' };
+  if (start > bytes.length) return undefined;
+  if (!bytes.subarray(offset, offset + FRAME_MARK.length).equals(FRAME_MARK)) return undefined;
+  const length = bytes.readUInt32BE(offset + 4);
   const end = start + length;
-  if (end > bytes.length) return { kind: 'torn' };
+  if (length === 0 || length > PAYLOAD_LIMIT_BYTES || end > bytes.length) return undefined;
   const payload = bytes.subarray(start, end);
-  const intact = crc32(payload) === bytes.readInt32BE(offset + 4);
-  return intact ? { kind: 'frame', payload, end } : { kind: 'damaged' };
+  return crc32(payload) === bytes.readInt32BE(offset + 8) ? { payload, end } : undefined;
+}
+
+/** Frames are synced one by one, so a whole one shows that those before it were acknowledged. */
+function hasFrameAfter(bytes: Buffer, from: number): boolean {
+  let offset = bytes.indexOf(FRAME_MARK, from);
+  while (offset >= 0) {
+    if (decodeFrame(bytes, offset) !== undefined) return true;
+    offset = bytes.indexOf(FRAME_MARK, offset + 1);
+  }
+  return false;
 }
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -1,2 +1,5 @@
 export { StorageError } from './errors';
-export { FileRecordStore, type RecordStore } from './record-file';
+export { type AppendFile, type FileSystem, NodeFileSystem } from './file-system';
+export { QuarantiningStore, type QuarantiningStoreOptions } from './quarantining-store';
+export type { Compaction, RecordStore, StoredRecords } from './record-store';
+export { SegmentedStore, type SegmentedStoreOptions } from './segmented-store';
--- /dev/null
+++ b/tests/disk-failures.test.ts
@@ -0,0 +1,78 @@
+import { readFile, readdir, rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { INSTANT_ENGINE } from '../src/local';
+import { SeparateSystem } from '../scripts/separate/system';
+import { Caller } from './caller';
+
+describe('control hosts whose disks fail', () => {
+  let system: SeparateSystem;
+  let caller: Caller;
+  let program: string;
+
+  beforeEach(async () => {
+    system = await SeparateSystem.start({ engineSettings: INSTANT_ENGINE, entries: 1 });
+    caller = new Caller(system.entryUrls[0] ?? '');
+    program = await caller.createProgram();
+    expect(await caller.turn(program, 1, 'One.')).toMatchObject({ status: 200 });
+  });
+
+  afterEach(async () => {
+    await system.stop();
+  });
+
+  function folderOf(name: string): string {
+    const index = system.layout.controlMembers.findIndex((member) => member.name === name);
+    return system.layout.dataFolders[index] ?? '';
+  }
+
+  async function kill(name: string): Promise<void> {
+    const child = system.child(name);
+    child.signal('SIGKILL');
+    await child.exited;
+  }
+
+  /** Starts a host again, and resolves once it is filled and votes. */
+  async function restartUntilVoter(name: string): Promise<void> {
+    await system.restart(name);
+    await system.child(name).logged((line) => line['votes'] === true);
+  }
+
+  describe('a data folder that was deleted', () => {
+    it('is filled again by the others, host after host, and nothing is lost', async () => {
+      for (const { name } of system.layout.controlMembers) {
+        await kill(name);
+        await rm(folderOf(name), { recursive: true });
+        await restartUntilVoter(name);
+      }
+      expect(await caller.program(program)).toMatchObject({ message_count: 2, next_sequence: 2 });
+      expect(await caller.turn(program, 2, 'Two.')).toMatchObject({ status: 200 });
+    });
+  });
+
+  describe('a segment with flipped bits', () => {
+    it('is moved aside, told of, and filled again by the others', async () => {
+      const { leader } = await system.status();
+      const name =
+        system.layout.controlMembers.find((member) => member.name !== leader)?.name ?? '';
+      await kill(name);
+      const log = join(folderOf(name), 'log');
+      const segment = join(
+        log,
+        (await readdir(log)).find((file) => file.startsWith('segment')) ?? '',
+      );
+      const bytes = await readFile(segment);
+      bytes.writeUInt8(bytes.readUInt8(30) ^ 1, 30);
+      await writeFile(segment, bytes);
+      await restartUntilVoter(name);
+      const told = await system
+        .child(name)
+        .logged((line) => line['event'] === 'storage-quarantined');
+      expect(told).toMatchObject({ level: 'error', movedTo: `${log}.damaged-1` });
+      expect(String(told['error'])).toContain('damaged at byte 8');
+      expect(await readdir(folderOf(name))).toEqual(['log', 'log.damaged-1']);
+      await kill(leader);
+      expect(await caller.turn(program, 2, 'Two.')).toMatchObject({ status: 200 });
+      await system.restart(leader);
+    });
+  });
+});
