--- a/scripts/separate/layout.ts
+++ b/scripts/separate/layout.ts
@@ -11,6 +11,8 @@
   readonly entries?: number;
   readonly engines?: number;
   readonly plain?: number;
+  /** Groups that programs are spread over; the settings' default unless given. */
+  readonly programGroups?: number;
   /** Further keys of the stand-in engines' settings. */
   readonly engineSettings?: Readonly<Record<string, number | string | boolean>>;
   /** Further keys of the stand-in services' settings. */
@@ -126,11 +128,13 @@
   readonly #cluster: Content;
 
   constructor(options: LayoutOptions, places: Places) {
+    const { programGroups } = options;
     this.#options = options;
     this.#places = places;
     this.#cluster = {
       control: this.#controlList,
       'process-credential': PROCESS_CREDENTIAL,
+      ...(programGroups === undefined ? {} : { 'program-groups': programGroups }),
     };
   }
 
--- a/scripts/separate/system.ts
+++ b/scripts/separate/system.ts
@@ -3,7 +3,8 @@
 import { join, resolve } from 'node:path';
 import { request } from 'undici';
 import { SystemClock, delay, formatAddress } from '../../src/core';
-import { ControlClient, type Status } from '../../src/protocol';
+import { ControlClient, type GroupStatus, type Status } from '../../src/protocol';
+import { groupOfProgram } from '../../src/state';
 import { Child } from './child';
 import {
   type Layout,
@@ -106,6 +107,19 @@
     }
   }
 
+  /** A group with its leader. */
+  async group(name: string): Promise<GroupStatus & { readonly leader: string }> {
+    const { groups } = await this.status();
+    const group = groups.find((entry) => entry.group === name);
+    if (group?.leader === undefined) throw new Error(`No leader of ${name}`);
+    return { ...group, leader: group.leader };
+  }
+
+  /** The group that holds a program. */
+  groupOf(program: string): Promise<GroupStatus & { readonly leader: string }> {
+    return this.group(groupOfProgram(program) ?? '');
+  }
+
   /** Resolves once every entry has the configuration and knows every target as serving. */
   async settled(targets = this.layout.targets.length): Promise<void> {
     for (const url of this.entryUrls) {
--- a/src/control/announce.ts
+++ b/src/control/announce.ts
@@ -1,13 +1,9 @@
-import type { Command, ProgramStateMachine } from '../state';
-import type { Notifier } from './notifier';
-import { CHANGE_KEYS } from './service';
+import type { Command } from '../state';
+import { CHANGE_KEYS, type Notifier } from './notifier';
 
-/** Wakes the calls that wait for what a command has changed. */
-export function announce(notifier: Notifier, machine: ProgramStateMachine, command: Command): void {
+/** Wakes the calls that wait for what a command has changed; tells of orders it may have brought. */
+export function announce(notifier: Notifier, command: Command, onOrders: () => void): void {
   switch (command.kind) {
-    case 'accept-configuration':
-      notifier.notify(CHANGE_KEYS.configuration);
-      return;
     case 'forget-programs':
     case 'confirm-orders':
       return;
@@ -18,17 +14,11 @@
     case 'resolve-step':
       notifier.notify(CHANGE_KEYS.program(command.input.program));
       return;
+    // The end of a program brings orders, and so does a turn that outlasts its program.
     case 'abandon-step':
     case 'complete-step':
     case 'end-program':
       notifier.notify(CHANGE_KEYS.program(command.input.program));
-      announceOrders(notifier, machine);
-  }
-}
-
-/** The end of a program brings orders, and so does a turn that outlasts its program. */
-function announceOrders(notifier: Notifier, machine: ProgramStateMachine): void {
-  for (const order of machine.tables.orders.values()) {
-    notifier.notify(CHANGE_KEYS.orders(order.target));
+      onOrders();
   }
 }
--- a/src/control/notifier.ts
+++ b/src/control/notifier.ts
@@ -1,5 +1,13 @@
 import type { Clock, Component } from '../core';
 
+/** Keys that calls wait for. */
+export const CHANGE_KEYS = {
+  configuration: 'configuration',
+  directory: 'directory',
+  program: (id: string) => `program ${id}`,
+  orders: (target: string) => `orders ${target}`,
+} as const;
+
 /** Lets calls wait until something with a key changes. */
 export class Notifier implements Component {
   readonly #clock: Clock;
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -1,17 +1,27 @@
-import { join } from 'node:path';
-import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource, messageOf } from '../core';
+import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource } from '../core';
 import { LatencyHistograms } from '../core/latency';
 import { ControlClient, HttpListener, answerHealth } from '../protocol';
 import { ControlListener } from '../protocol/control-listener';
-import { ReplicatedLog } from '../replication';
-import type { ControlSettings } from '../settings';
-import { type CommandResult, ProgramStateMachine } from '../state';
-import { QuarantiningStore, type RecordStore } from '../storage';
+import type { Envelope, LogView, ReplicatedLog } from '../replication';
+import { type ControlSettings, programGroups } from '../settings';
+import {
+  type AcceptOutcome,
+  CONFIGURATION_GROUP,
+  ConfigurationStateMachine,
+  ProgramStateMachine,
+} from '../state';
+import type { RecordStore } from '../storage';
 import { announce } from './announce';
-import { Notifier } from './notifier';
+import { type GroupParts, type ProgramGroupMember, createGroupLog } from './group';
+import { EntryLiveness } from './liveness';
+import { CHANGE_KEYS, Notifier } from './notifier';
+import { OfferedOrders } from './offered-orders';
+import { OrderRelay } from './order-relay';
+import { ProgramService } from './program-service';
 import { NodeRegistry } from './registry';
 import { ControlService } from './service';
-import { createSweep } from './sweeper';
+import { createProgramSweep, createTargetSweep } from './sweeper';
+import { SharedTicker } from './ticker';
 import { ControlTransport } from './transport';
 
 export interface ControlProcessOptions {
@@ -19,122 +29,241 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
-  /** The file store under the data folder unless given. */
-  readonly store?: RecordStore;
+  /** The store of a group; a file store under the data folder unless given. */
+  readonly storeFor?: (group: string) => RecordStore;
   /** Called when the process can't go on, after the reason was logged. */
   readonly onFailure?: () => void;
 }
 
 /** Wires up one control host; the life cycle that is returned starts and stops it. */
 export function createControlProcess(options: ControlProcessOptions): LifeCycle {
-  const { settings, clock, random, logger } = options;
-  const { host, cluster, control } = settings;
-  const metrics = new Metrics(new LatencyHistograms());
-  const notifier = new Notifier(clock);
-  const registry = new NodeRegistry(control['session-milliseconds']);
-  const machine = new ProgramStateMachine((command) => {
-    announce(notifier, machine, command);
-  });
-  const credential = cluster['process-credential'];
-  const client = new ControlClient({ members: cluster.control, credential, clock });
-  const transport: ControlTransport = new ControlTransport({
-    client,
-    clock,
-    logger,
-    receive: (envelopes) => {
-      log.receive(envelopes);
-    },
-  });
-  let leading = false;
-  const log = new ReplicatedLog<CommandResult>({
-    self: host.name,
-    hosts: () => cluster.control.map((member) => member.name),
-    store: options.store ?? openStore(options),
-    transport,
-    machine,
-    clock,
-    random,
-    heartbeatMilliseconds: control['heartbeat-milliseconds'],
-    electionMilliseconds: control['election-milliseconds'],
-    onChange: () => {
-      const { role, term, leader, votes } = log;
-      logger.info({ event: 'replication', state: role, term, leader, votes });
-      if (role === 'leader' && !leading) registry.reset(clock.monotonic());
-      leading = role === 'leader';
-      notifier.notifyAll();
-    },
-    onMembership: (membership, reason) => {
-      logger.info({ event: 'membership', ...membership, reason });
-    },
-    onFailure: (error) => {
-      logger.fatal({ event: 'storage-failed', error: messageOf(error) });
-      options.onFailure?.();
-    },
-  });
-  const service = new ControlService({
-    self: host.name,
-    log,
-    machine,
-    registry,
-    notifier,
-    clock,
-    logger,
-    metrics,
-  });
-  const notReady = () => (log.leader === undefined ? 'no leader is known' : undefined);
-  const listener = new HttpListener({
-    address: host.address,
-    handle: (request, response) => {
-      if (answerHealth({ notReady, metrics }, request, response)) return;
-      response.writeHead(404).end();
-    },
-  });
-  registerGauges(metrics, log, machine);
-
+  const host = new ControlHost(options);
   const lifeCycle = new LifeCycle();
-  lifeCycle.add('client', client);
-  lifeCycle.add('listener', listener);
-  lifeCycle.add(
-    'control-listener',
-    new ControlListener({
-      listener,
-      api: service,
-      processCredential: credential,
-      operatorCredential: control['operator-credential'],
-    }),
-  );
-  lifeCycle.add('transport', transport);
-  lifeCycle.add('notifier', notifier);
-  lifeCycle.add('log', log);
-  lifeCycle.add(
-    'sweep',
-    createSweep({ settings: control, clock, logger, log, machine, registry, notifier }),
-  );
+  host.addTo(lifeCycle);
   return lifeCycle;
 }
 
-/** The store of this host's own log; only a member that has peers may lose what is damaged. */
-function openStore({ settings, logger }: ControlProcessOptions): RecordStore {
-  const { control, cluster } = settings;
-  return new QuarantiningStore({
-    folder: join(control['data-folder'], 'log'),
-    mayQuarantine: cluster.control.length > 1,
-    onQuarantine: (error, movedTo) => {
-      logger.error({ event: 'storage-quarantined', error: error.message, movedTo });
-    },
-    onTornTail: (file, bytes) => {
-      logger.warn({ event: 'torn-tail-cut', file, bytes });
-    },
-  });
+/** A group of programs on this host, with what its leader does periodically. */
+interface ProgramGroupParts extends ProgramGroupMember {
+  readonly relay: OrderRelay;
 }
 
-function registerGauges(
-  metrics: Metrics,
-  log: ReplicatedLog<CommandResult>,
-  machine: ProgramStateMachine,
-): void {
-  metrics.gauge('replication_term', () => log.term);
-  metrics.gauge('replication_applied_index', () => log.appliedIndex);
-  metrics.gauge('programs', () => machine.tables.programs.size);
-  metrics.gauge('pending_orders', () => machine.tables.orders.size);
+/** The parts of one control host. */
+class ControlHost {
+  readonly #options: ControlProcessOptions;
+  readonly #metrics = new Metrics(new LatencyHistograms());
+  readonly #orders = new OfferedOrders();
+  readonly #notifier: Notifier;
+  readonly #client: ControlClient;
+  readonly #registry: NodeRegistry;
+  readonly #transport: ControlTransport;
+  readonly #ticker: SharedTicker;
+  readonly #groupParts: GroupParts;
+  readonly #configuration: ConfigurationStateMachine;
+  readonly #configurationLog: ReplicatedLog<AcceptOutcome>;
+  readonly #groups: readonly ProgramGroupParts[];
+
+  constructor(options: ControlProcessOptions) {
+    this.#options = options;
+    const { settings, clock, logger } = options;
+    const { host, cluster, control } = settings;
+    const credential = cluster['process-credential'];
+    this.#notifier = new Notifier(clock);
+    this.#client = new ControlClient({ members: cluster.control, credential, clock });
+    this.#registry = new NodeRegistry(control['session-milliseconds']);
+    this.#ticker = new SharedTicker(clock, control['heartbeat-milliseconds'] / 2);
+    this.#transport = new ControlTransport({
+      client: this.#client,
+      clock,
+      logger,
+      receive: ({ group, envelopes }) => {
+        this.#logOf(group)?.receive(envelopes);
+      },
+    });
+    this.#groupParts = {
+      ...options,
+      transport: this.#transport,
+      ticker: this.#ticker,
+      onFailure: () => options.onFailure?.(),
+    };
+    this.#configuration = new ConfigurationStateMachine(() => {
+      this.#notifier.notify(CHANGE_KEYS.configuration);
+    });
+    this.#configurationLog = this.#createConfigurationLog();
+    this.#groups = programGroups(cluster)
+      .filter((group) => group.hosts.includes(host.name))
+      .map((group) => this.#createGroup(group.name, group.hosts));
+  }
+
+  /** Adds the parts in the order they start; logs stop first, while messages still flow. */
+  addTo(lifeCycle: LifeCycle): void {
+    const { host, cluster, control } = this.#options.settings;
+    const listener = this.#createListener(host.address);
+    lifeCycle.add('client', this.#client);
+    lifeCycle.add('listener', listener);
+    lifeCycle.add(
+      'control-listener',
+      new ControlListener({
+        listener,
+        api: this.#createService(),
+        processCredential: cluster['process-credential'],
+        operatorCredential: control['operator-credential'],
+      }),
+    );
+    lifeCycle.add('transport', this.#transport);
+    lifeCycle.add('notifier', this.#notifier);
+    lifeCycle.add('ticker', this.#ticker);
+    lifeCycle.add(CONFIGURATION_GROUP, this.#configurationLog);
+    lifeCycle.add('target-sweep', this.#createTargetSweep());
+    for (const group of this.#groups) this.#addGroup(lifeCycle, group);
+    this.#registerGauges();
+  }
+
+  #addGroup(lifeCycle: LifeCycle, group: ProgramGroupParts): void {
+    const { settings, clock, logger } = this.#options;
+    lifeCycle.add(group.name, group.log);
+    lifeCycle.add(`${group.name} orders`, group.relay);
+    lifeCycle.add(
+      `${group.name} sweep`,
+      createProgramSweep({ settings: settings.control, clock, logger, group }),
+    );
+  }
+
+  #createConfigurationLog(): ReplicatedLog<AcceptOutcome> {
+    const { settings, clock } = this.#options;
+    let leading = false;
+    return createGroupLog(this.#groupParts, {
+      name: CONFIGURATION_GROUP,
+      hosts: settings.cluster.control.map((member) => member.name),
+      machine: this.#configuration,
+      onChange: ({ role }) => {
+        if (role === 'leader' && !leading) {
+          this.#registry.reset(clock.monotonic());
+          this.#orders.reset();
+        }
+        leading = role === 'leader';
+        this.#notifier.notifyAll();
+      },
+    });
+  }
+
+  #createGroup(name: string, hosts: readonly string[]): ProgramGroupParts {
+    const { settings, clock, logger } = this.#options;
+    const machine = new ProgramStateMachine((command) => {
+      announce(this.#notifier, command, () => void relay.offer());
+    });
+    const log = createGroupLog(this.#groupParts, {
+      name,
+      hosts,
+      machine,
+      onChange: () => {
+        this.#notifier.notifyAll();
+      },
+    });
+    const relay = new OrderRelay({
+      group: { name, log, machine },
+      client: this.#client,
+      clock,
+      logger,
+      repeatMilliseconds: settings.control['sweep-milliseconds'],
+    });
+    return { name, log, machine, relay };
+  }
+
+  #createListener(address: ControlSettings['host']['address']): HttpListener {
+    const source = { notReady: () => this.#notReady, metrics: this.#metrics };
+    return new HttpListener({
+      address,
+      handle: (request, response) => {
+        if (answerHealth(source, request, response)) return;
+        response.writeHead(404).end();
+      },
+    });
+  }
+
+  #createService(): ControlService {
+    const { settings, clock, logger } = this.#options;
+    return new ControlService({
+      self: settings.host.name,
+      log: this.#configurationLog,
+      machine: this.#configuration,
+      programs: this.#createProgramServices(),
+      groupNames: programGroups(settings.cluster).map((group) => group.name),
+      exchange: (group, envelopes) => this.#exchange(group, envelopes),
+      client: this.#client,
+      registry: this.#registry,
+      orders: this.#orders,
+      notifier: this.#notifier,
+      clock,
+      logger,
+    });
+  }
+
+  #createProgramServices(): ReadonlyMap<string, ProgramService> {
+    const { settings, clock, logger } = this.#options;
+    const liveness = new EntryLiveness({ client: this.#client, clock, logger });
+    const services = this.#groups.map((group): [string, ProgramService] => [
+      group.name,
+      new ProgramService({
+        self: settings.host.name,
+        group,
+        configuration: this.#configuration,
+        liveness,
+        notifier: this.#notifier,
+        clock,
+        metrics: this.#metrics,
+      }),
+    ]);
+    return new Map(services);
+  }
+
+  #createTargetSweep() {
+    const { settings, clock } = this.#options;
+    return createTargetSweep({
+      milliseconds: settings.control['sweep-milliseconds'],
+      clock,
+      log: this.#configurationLog,
+      machine: this.#configuration,
+      registry: this.#registry,
+      notifier: this.#notifier,
+    });
+  }
+
+  #logOf(group: string): LogView | undefined {
+    if (group === CONFIGURATION_GROUP) return this.#configurationLog;
+    return this.#groups.find((entry) => entry.name === group)?.log;
+  }
+
+  async #exchange(group: string, envelopes: readonly Envelope[]): Promise<readonly Envelope[]> {
+    return this.#logOf(group)?.exchange(envelopes) ?? [];
+  }
+
+  get #notReady(): string | undefined {
+    const logs = [this.#configurationLog, ...this.#groups.map((group) => group.log)];
+    const known = logs.every((log) => log.leader !== undefined);
+    return known ? undefined : 'a group has no known leader';
+  }
+
+  #registerGauges(): void {
+    const sum = (value: (group: ProgramGroupParts) => number) => () =>
+      this.#groups.reduce((total, group) => total + value(group), 0);
+    this.#metrics.gauge('configuration_term', () => this.#configurationLog.term);
+    this.#metrics.gauge('configuration_number', () => this.#configuration.number);
+    this.#metrics.gauge(
+      'groups_led',
+      sum(({ log }) => Number(log.role === 'leader')),
+    );
+    this.#metrics.gauge(
+      'replication_applied_total',
+      sum(({ log }) => log.appliedIndex),
+    );
+    this.#metrics.gauge(
+      'programs',
+      sum(({ machine }) => machine.tables.programs.size),
+    );
+    this.#metrics.gauge(
+      'pending_orders',
+      sum(({ machine }) => machine.tables.orders.size),
+    );
+  }
 }
--- a/src/control/registry.ts
+++ b/src/control/registry.ts
@@ -58,6 +58,11 @@
     });
   }
 
+  /** Whether every live process has had the time to be heard since this member took the lead. */
+  isComplete(now: number): boolean {
+    return this.#graceOver(now);
+  }
+
   /** Marks targets whose sidecars fell silent; returns whether any did. */
   expire(targets: readonly string[], now: number): boolean {
     if (!this.#graceOver(now)) return false;
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -1,12 +1,17 @@
-import type { Clock, Logger, Metrics } from '../core';
+import type { Clock, Logger } from '../core';
 import type {
   ControlApi,
+  ControlClient,
   Delivered,
+  EntryLife,
   FoundProgram,
+  GroupEnvelopes,
+  GroupSummary,
   Heartbeat,
   InForce,
   NotLeader,
   Noted,
+  OrderOffer,
   Status,
   Watch,
   WatchChanges,
@@ -18,51 +23,54 @@
   type AcceptOutcome,
   type BeginOutcome,
   type BeginStep,
-  type Command,
-  type CommandResult,
-  type CommandResults,
   type CompleteOutcome,
   type CompleteStep,
+  type ConfigurationStateMachine,
   type CreateProgram,
   type Created,
   type EndProgram,
   type Ended,
-  type ProgramStateMachine,
   type Refused,
   type ResolveStep,
-  evaluateBegin,
-  sequenceOf,
-  viewProgram,
+  groupOfProgram,
 } from '../state';
-import type { Notifier } from './notifier';
+import { CHANGE_KEYS, type Notifier } from './notifier';
+import type { OfferedOrders } from './offered-orders';
+import { type ProgramService, unknownProgram } from './program-service';
 import type { NodeRegistry } from './registry';
-import { buildStatus } from './status';
+import { gatherStatus } from './status';
 
 export interface ControlServiceOptions {
   readonly self: string;
-  readonly log: ReplicatedLog<CommandResult>;
-  readonly machine: ProgramStateMachine;
+  /** The group of the configuration. */
+  readonly log: ReplicatedLog<AcceptOutcome>;
+  readonly machine: ConfigurationStateMachine;
+  /** Groups of programs that this host is a member of, by name. */
+  readonly programs: ReadonlyMap<string, ProgramService>;
+  /** Names of the groups of all regions. */
+  readonly groupNames: readonly string[];
+  /** Takes replication messages, and resolves with the answers. */
+  readonly exchange: (
+    group: string,
+    envelopes: readonly Envelope[],
+  ) => Promise<readonly Envelope[]>;
+  readonly client: ControlClient;
   readonly registry: NodeRegistry;
+  readonly orders: OfferedOrders;
   readonly notifier: Notifier;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly metrics: Metrics;
 }
 
-/** Keys that calls wait for. */
-export const CHANGE_KEYS = {
-  configuration: 'configuration',
-  directory: 'directory',
-  program: (id: string) => `program ${id}`,
-  orders: (target: string) => `orders ${target}`,
-} as const;
-
-/** How often a waiting step looks whether the entry that runs it has died; milliseconds. */
-const DEATH_CHECK_MILLISECONDS = 250;
-
 const NOTED: Noted = { outcome: 'noted' };
 
-/** What a control host does for entries, sidecars and operators. Only the leader serves. */
+/** Longest wait for a group that is told which orders were carried out; milliseconds. */
+const SETTLE_MILLISECONDS = 2000;
+
+/**
+ * What a control host offers. Programs are served by the leaders of their groups; processes,
+ * orders to targets and the configuration itself by the leader of the configuration.
+ */
 export class ControlService implements ControlApi {
   readonly #options: ControlServiceOptions;
 
@@ -70,66 +78,41 @@
     this.#options = options;
   }
 
-  createProgram(input: CreateProgram): Promise<Created | Refused | NotLeader> {
-    return this.#propose({ kind: 'create-program', at: this.#at, input });
+  async createProgram(input: CreateProgram): Promise<Created | Refused | NotLeader> {
+    return this.#inGroupOf(input.id, (service) => service.createProgram(input));
   }
 
-  getProgram(id: string, team: string): FoundProgram | Refused | NotLeader {
-    if (!this.#serves) return this.#notLeader;
-    const { tables } = this.#options.machine;
-    const program = tables.programs.get(id);
-    if (program?.team !== team) return unknownProgram(id);
-    return { outcome: 'found', program: viewProgram(program, tables.spendingOf(program)) };
+  async getProgram(id: string, team: string): Promise<FoundProgram | Refused | NotLeader> {
+    return this.#inGroupOf(id, (service) => service.getProgram(id, team));
   }
 
   async endProgram(input: EndProgram, team: string): Promise<Ended | Refused | NotLeader> {
-    const found = this.getProgram(input.program, team);
-    if (found.outcome !== 'found') return found;
-    return this.#propose({ kind: 'end-program', at: this.#at, input });
+    return this.#inGroupOf(input.program, (service) => service.endProgram(input, team));
   }
 
   async beginStep(input: BeginStep, waitMilliseconds: number): Promise<BeginOutcome | NotLeader> {
-    const { clock, notifier } = this.#options;
-    const deadline = clock.monotonic() + waitMilliseconds;
-    for (;;) {
-      const outcome = await this.#tryBegin(input);
-      const remaining = deadline - clock.monotonic();
-      if (outcome.outcome !== 'wait' || remaining <= 0) return outcome;
-      const wait = Math.min(remaining, DEATH_CHECK_MILLISECONDS);
-      await notifier.wait([CHANGE_KEYS.program(input.program)], wait);
-    }
+    return this.#inGroupOf(input.program, (service) => service.beginStep(input, waitMilliseconds));
   }
 
-  async #tryBegin(input: BeginStep): Promise<BeginOutcome | NotLeader> {
-    if (!this.#serves) return this.#notLeader;
-    const displaces = this.#deadAttempt(input);
-    if (input.create === undefined) {
-      const outcome = evaluateBegin(this.#options.machine.tables, input, displaces);
-      if (outcome.outcome !== 'run') return outcome;
-    }
-    const command = { kind: 'begin-step', at: this.#at, input } as const;
-    return this.#propose(displaces === undefined ? command : { ...command, displaces });
+  async completeStep(input: CompleteStep): Promise<CompleteOutcome | NotLeader> {
+    const service = this.#serviceOf(input.program);
+    return service?.completeStep(input) ?? UNKNOWN_LEADER;
   }
 
-  /** The running attempt of this step, if the entry that works on it is dead. */
-  #deadAttempt(input: BeginStep): string | undefined {
-    const program = this.#options.machine.tables.programs.get(input.program);
-    const step = program?.steps.get(sequenceOf(program, input));
-    if (step?.state !== 'running') return undefined;
-    const dead = this.#options.registry.entryIsDead(step.entry, this.#options.clock.monotonic());
-    return dead ? step.attempt : undefined;
+  async abandonStep(input: AbandonStep): Promise<Noted | NotLeader> {
+    return this.#serviceOf(input.program)?.abandonStep(input) ?? UNKNOWN_LEADER;
   }
 
-  completeStep(input: CompleteStep): Promise<CompleteOutcome | NotLeader> {
-    return this.#propose({ kind: 'complete-step', at: this.#at, input });
+  async resolveStep(input: ResolveStep): Promise<Noted | NotLeader> {
+    return this.#serviceOf(input.program)?.resolveStep(input) ?? UNKNOWN_LEADER;
   }
 
-  abandonStep(input: AbandonStep): Promise<Noted | NotLeader> {
-    return this.#note({ kind: 'abandon-step', at: this.#at, input });
+  async settleOrders(group: string, orders: readonly string[]): Promise<Noted | NotLeader> {
+    return this.#options.programs.get(group)?.settleOrders(orders) ?? UNKNOWN_LEADER;
   }
 
-  resolveStep(input: ResolveStep): Promise<Noted | NotLeader> {
-    return this.#note({ kind: 'resolve-step', at: this.#at, input });
+  summary(group: string): GroupSummary | NotLeader {
+    return this.#options.programs.get(group)?.summary() ?? UNKNOWN_LEADER;
   }
 
   heartbeat(input: Heartbeat): Noted | NotLeader {
@@ -139,6 +122,12 @@
     return NOTED;
   }
 
+  entryLife(identity: string): EntryLife | NotLeader {
+    if (!this.#serves) return this.#notLeader;
+    const { registry, clock } = this.#options;
+    return { outcome: 'entry-life', dead: registry.entryIsDead(identity, clock.monotonic()) };
+  }
+
   async watch(input: Watch): Promise<WatchChanges | NotLeader> {
     const { clock, notifier } = this.#options;
     const deadline = clock.monotonic() + input.waitMilliseconds;
@@ -158,78 +147,99 @@
     }
   }
 
-  #changesFor(input: Watch): WatchChanges {
-    const { log, machine, registry } = this.#options;
-    const { accepted, orders } = machine.tables;
-    const newer =
-      accepted !== undefined && accepted.configuration.number > input.configurationNumber;
-    const { directory } = input;
+  #changesFor({ configurationNumber, directory, target }: Watch): WatchChanges {
+    const { log, machine, registry, orders } = this.#options;
     const epoch = log.term;
     const seen = directory?.epoch === epoch ? directory.version : 0;
     const changed =
       directory !== undefined && (directory.epoch !== epoch || registry.version > seen);
     return {
       outcome: 'changes',
-      term: log.term,
-      configuration: newer
-        ? {
-            number: accepted.configuration.number,
-            digest: accepted.configuration.digest,
-            files: accepted.files,
-          }
-        : undefined,
+      term: epoch,
+      configuration: machine.changesSince(configurationNumber),
       directory: changed
         ? { epoch, version: registry.version, targets: registry.targetsSince(seen) }
         : undefined,
-      orders: [...orders.values()].filter((order) => order.target === input.target),
+      orders: orders.forTarget(target),
     };
   }
 
-  confirmOrders(orders: readonly string[]): Promise<Noted | NotLeader> {
-    return this.#note({ kind: 'confirm-orders', at: this.#at, orders });
+  offerOrders(offer: OrderOffer): Noted | NotLeader {
+    if (!this.#serves) return this.#notLeader;
+    const { orders, notifier } = this.#options;
+    for (const target of orders.take(offer)) notifier.notify(CHANGE_KEYS.orders(target));
+    return NOTED;
+  }
+
+  async confirmOrders(ids: readonly string[]): Promise<Noted | NotLeader> {
+    if (!this.#serves) return this.#notLeader;
+    const { orders, client } = this.#options;
+    const settled = [...orders.settle(ids)].map(([group, done]) =>
+      client.call(
+        (connection, signal) =>
+          connection.groups.settleOrders.mutate({ group, orders: [...done] }, { signal }),
+        { group, deadlineMilliseconds: SETTLE_MILLISECONDS },
+      ),
+    );
+    // A group that can't be told offers its orders again, and they are carried out once more.
+    await Promise.allSettled(settled);
+    return NOTED;
   }
 
   async applyConfiguration(input: AcceptConfiguration): Promise<AcceptOutcome | NotLeader> {
-    const outcome = await this.#propose({ kind: 'accept-configuration', at: this.#at, input });
-    if (outcome.outcome !== 'not-leader') {
+    if (!this.#serves) return this.#notLeader;
+    try {
+      const outcome = await this.#options.log.propose(JSON.stringify(input));
       const { outcome: result, number, digest } = outcome;
       this.#options.logger.info({ event: 'configuration', result, number, digest });
+      return outcome;
+    } catch (error) {
+      if (error instanceof ReplicationError) return this.#notLeader;
+      throw error;
     }
-    return outcome;
   }
 
   configurationInForce(): InForce | NotLeader {
     if (!this.#serves) return this.#notLeader;
-    const { accepted } = this.#options.machine.tables;
+    const { accepted } = this.#options.machine;
     if (accepted === undefined) return { outcome: 'in-force', configuration: undefined };
     const { number, digest } = accepted.configuration;
-    return { outcome: 'in-force', configuration: { number, digest, files: accepted.files } };
+    const files = accepted.files.map(({ name, text }) => ({ name, text }));
+    return { outcome: 'in-force', configuration: { number, digest, files } };
   }
 
-  status(): Status | NotLeader {
+  async status(): Promise<Status | NotLeader> {
     if (!this.#serves) return this.#notLeader;
-    const { self, log, machine, registry, clock } = this.#options;
-    return buildStatus({
-      leader: self,
-      term: log.term,
-      appliedIndex: log.appliedIndex,
-      membership: log.membership,
-      silent: log.silentMembers,
-      nodes: registry.nodes(clock.monotonic()),
-      tables: machine.tables,
-    });
+    return gatherStatus(this.#options);
   }
 
-  async deliver(envelopes: readonly Envelope[]): Promise<Delivered> {
-    return { answers: await this.#options.log.exchange(envelopes) };
+  async deliver(batches: readonly GroupEnvelopes[]): Promise<Delivered> {
+    const answers = batches.map(async ({ group, envelopes }) => ({
+      group,
+      envelopes: await this.#options.exchange(group, envelopes),
+    }));
+    return { answers: await Promise.all(answers) };
   }
 
-  get #serves(): boolean {
-    return this.#options.log.serves;
+  #serviceOf(program: string): ProgramService | undefined {
+    return this.#options.programs.get(groupOfProgram(program) ?? '');
   }
 
-  get #at(): number {
-    return this.#options.clock.now();
+  /** Runs something at this host's part of a program's group; an id of no group is unknown. */
+  async #inGroupOf<T>(
+    program: string,
+    run: (service: ProgramService) => Promise<T> | T,
+  ): Promise<T | Refused | NotLeader> {
+    const group = groupOfProgram(program);
+    if (group === undefined || !this.#options.groupNames.includes(group)) {
+      return unknownProgram(program);
+    }
+    const service = this.#options.programs.get(group);
+    return service === undefined ? UNKNOWN_LEADER : run(service);
+  }
+
+  get #serves(): boolean {
+    return this.#options.log.serves;
   }
 
   get #notLeader(): NotLeader {
@@ -237,29 +247,7 @@
     const leader = log.leader === undefined ? undefined : nameOf(log.leader);
     return { outcome: 'not-leader', leader: leader === self ? undefined : leader };
   }
-
-  async #note(command: Command): Promise<Noted | NotLeader> {
-    const result = await this.#propose(command);
-    return result.outcome === 'not-leader' ? result : NOTED;
-  }
-
-  /** Commits a command; an uncertain one counts as not led, and the caller repeats it. */
-  async #propose<K extends Command['kind']>(
-    command: Extract<Command, { kind: K }>,
-  ): Promise<CommandResults[K] | NotLeader> {
-    if (!this.#serves) return this.#notLeader;
-    const started = this.#options.clock.monotonic();
-    try {
-      const result = await this.#options.log.propose(JSON.stringify(command));
-      this.#options.metrics.observe('commit', this.#options.clock.monotonic() - started);
-      return result as CommandResults[K];
-    } catch (error) {
-      if (error instanceof ReplicationError) return this.#notLeader;
-      throw error;
-    }
-  }
 }
 
-function unknownProgram(id: string): Refused {
-  return { outcome: 'refused', code: 'unknown-program', message: `no program "${id}"` };
-}
+/** This host is no member of the group that is asked for. */
+const UNKNOWN_LEADER: NotLeader = { outcome: 'not-leader' };
--- a/src/control/status.ts
+++ b/src/control/status.ts
@@ -1,57 +1,129 @@
-import type { NodeStatus, Status, TeamStatus } from '../protocol';
-import { type Membership, nameOf } from '../replication';
-import type { Program, Tables } from '../state';
+import type { Clock } from '../core';
+import type { ControlClient, GroupStatus, GroupSummary, Status, TeamStatus } from '../protocol';
+import { type LogView, nameOf } from '../replication';
+import {
+  type ConfigurationStateMachine,
+  CONFIGURATION_GROUP,
+  type Program,
+  type Tables,
+} from '../state';
+import type { OfferedOrders } from './offered-orders';
+import type { NodeRegistry } from './registry';
 
 /** Share of a budget from which a program counts as near its end. */
 const NEAR_BUDGET_SHARE = 0.9;
 
-export interface StatusInput {
-  readonly leader: string;
-  readonly term: number;
-  readonly appliedIndex: number;
-  readonly membership: Membership;
-  readonly silent: readonly string[];
-  readonly nodes: readonly NodeStatus[];
-  readonly tables: Tables;
-}
-
-/** Gathers what `martenbay status` shows. */
-export function buildStatus(input: StatusInput): Status {
-  const { leader, term, appliedIndex, membership, silent, nodes, tables } = input;
-  const number = tables.accepted?.configuration.number ?? 0;
-  const digest = tables.accepted?.configuration.digest ?? '';
+/** Longest wait for a group's leader; milliseconds. */
+const SUMMARY_MILLISECONDS = 1000;
+
+export interface StatusSources {
+  readonly self: string;
+  readonly log: LogView;
+  readonly machine: ConfigurationStateMachine;
+  readonly groupNames: readonly string[];
+  readonly client: ControlClient;
+  readonly registry: NodeRegistry;
+  readonly orders: OfferedOrders;
+  readonly clock: Clock;
+}
+
+/** Gathers what `martenbay status` shows, asking the leaders of all groups. */
+export async function gatherStatus(sources: StatusSources): Promise<Status> {
+  const { self, log, machine, groupNames, client, registry, orders, clock } = sources;
+  const summaries = await Promise.all(groupNames.map((group) => askSummary(client, group)));
+  const groups = summaries.map((summary, index) =>
+    summary === undefined ? silentGroup(groupNames[index] ?? '') : summary.group,
+  );
+  const nodes = registry.nodes(clock.monotonic());
   const lagging = nodes
-    .filter((node) => node.state !== 'lost' && node.configurationNumber < number)
+    .filter((node) => node.state !== 'lost' && node.configurationNumber < machine.number)
     .map((node) => node.name);
-  const teams = tables.accepted?.configuration.teams.map((team) => team.name) ?? [];
+  const names = machine.accepted?.configuration.teams.map((team) => team.name) ?? [];
+  const digest = machine.accepted?.configuration.digest ?? '';
   return {
     outcome: 'status',
-    leader,
-    term,
-    appliedIndex,
-    voters: membership.voters.map(nameOf).sort(),
-    learners: membership.learners.map(nameOf).sort(),
-    silent: silent.map(nameOf).sort(),
-    configuration: { number, digest },
+    groups: [describeGroup(CONFIGURATION_GROUP, self, log), ...groups],
+    configuration: { number: machine.number, digest },
     nodes,
+    nodesComplete: registry.isComplete(clock.monotonic()),
     lagging,
-    teams: teams.map((team) => teamStatus(team, tables)),
-    pendingOrders: tables.orders.size,
+    teams: addTeams(names, summaries),
+    pendingOrders: orders.count,
   };
 }
 
-function teamStatus(team: string, tables: Tables): TeamStatus {
-  const programs = [...tables.programs.values()].filter((program) => program.team === team);
-  const live = programs.filter((program) => program.endReason === undefined);
+/** What the leader of a group knows of the group. */
+export function describeGroup(group: string, self: string, log: LogView): GroupStatus {
+  const { voters, learners } = log.membership;
   return {
-    team,
-    livePrograms: live.length,
-    endedPrograms: programs.length - live.length,
-    nearBudget: live.filter((program) => nearBudget(program, tables)).length,
+    group,
+    leader: self,
+    term: log.term,
+    appliedIndex: log.appliedIndex,
+    voters: voters.map(nameOf).sort(),
+    learners: learners.map(nameOf).sort(),
+    silent: log.silentMembers.map(nameOf).sort(),
   };
 }
 
-function nearBudget(program: Program, tables: Tables): boolean {
+/** Counts the programs of one group by team. */
+export function describeTeams(tables: Tables): readonly TeamStatus[] {
+  const teams = new Map<string, TeamStatus>();
+  for (const program of tables.programs.values()) {
+    const known = teams.get(program.team) ?? emptyTeam(program.team);
+    const live = program.endReason === undefined;
+    teams.set(program.team, {
+      team: program.team,
+      livePrograms: known.livePrograms + Number(live),
+      endedPrograms: known.endedPrograms + Number(!live),
+      nearBudget: known.nearBudget + Number(live && isNearBudget(program, tables)),
+    });
+  }
+  return [...teams.values()];
+}
+
+async function askSummary(client: ControlClient, group: string): Promise<GroupSummary | undefined> {
+  const limits = { group, deadlineMilliseconds: SUMMARY_MILLISECONDS };
+  try {
+    return await client.call<GroupSummary>(
+      (connection, signal) => connection.groups.summary.query({ group }, { signal }),
+      limits,
+    );
+  } catch {
+    return undefined;
+  }
+}
+
+/** A group for which nobody answers. */
+function silentGroup(group: string): GroupStatus {
+  const none = { voters: [], learners: [], silent: [] };
+  return { group, leader: undefined, term: 0, appliedIndex: 0, ...none };
+}
+
+function addTeams(
+  names: readonly string[],
+  summaries: readonly (GroupSummary | undefined)[],
+): readonly TeamStatus[] {
+  const all = summaries.flatMap((summary) => summary?.teams ?? []);
+  return names.map((team) =>
+    all.filter((status) => status.team === team).reduce(addTeam, emptyTeam(team)),
+  );
+}
+
+function addTeam(left: TeamStatus, right: TeamStatus): TeamStatus {
+  return {
+    team: left.team,
+    livePrograms: left.livePrograms + right.livePrograms,
+    endedPrograms: left.endedPrograms + right.endedPrograms,
+    nearBudget: left.nearBudget + right.nearBudget,
+  };
+}
+
+function emptyTeam(team: string): TeamStatus {
+  return { team, livePrograms: 0, endedPrograms: 0, nearBudget: 0 };
+}
+
+function isNearBudget(program: Program, tables: Tables): boolean {
   const spending = tables.spendingOf(program);
   const tokens = spending.spentTokens + spending.reservedTokens;
   const calls = spending.spentCalls + spending.reservedCalls;
--- a/src/control/transport.ts
+++ b/src/control/transport.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Logger, messageOf, startTimeout } from '../core';
-import type { ControlClient } from '../protocol';
+import type { ControlClient, GroupEnvelopes } from '../protocol';
 import { type Envelope, type ReplicationTransport, hostOf } from '../replication';
 
 /** Longest wait for a peer's answers; milliseconds. */
@@ -13,56 +13,78 @@
   readonly clock: Clock;
   readonly logger: Logger;
   /** Takes a peer's answers. */
-  readonly receive: (envelopes: readonly Envelope[]) => void;
+  readonly receive: (batch: GroupEnvelopes) => void;
+}
+
+interface Queued {
+  readonly group: string;
+  readonly envelope: Envelope;
+}
+
+/** Messages to one peer that travel one call after the other. */
+interface Lane {
+  readonly peer: string;
+  queue: Queued[];
+  sending: boolean;
 }
 
 /**
- * Carries replication messages over tRPC, one call at a time to each peer. The peer's answers
- * come back with the call, which saves a call in the other direction.
+ * Carries replication messages over tRPC. What needs no sync at the peer, so heartbeats above all,
+ * travels together for all groups; each group's entries travel by themselves, so that one slow
+ * group holds up no other. The peer's answers come back with the call.
  */
-export class ControlTransport implements ReplicationTransport {
+export class ControlTransport {
   readonly #options: ControlTransportOptions;
-  readonly #queues = new Map<string, Envelope[]>();
-  readonly #sending = new Set<string>();
+  readonly #lanes = new Map<string, Lane>();
   #stopped = false;
 
   constructor(options: ControlTransportOptions) {
     this.#options = options;
   }
 
-  send(envelope: Envelope): void {
-    const peer = hostOf(envelope);
-    const queue = this.#queues.get(peer) ?? [];
-    queue.push(envelope);
-    if (queue.length > QUEUE_LIMIT) queue.shift();
-    this.#queues.set(peer, queue);
-    if (!this.#sending.has(peer)) void this.#drain(peer);
+  /** The transport of one group. */
+  forGroup(group: string): ReplicationTransport {
+    return {
+      send: (envelope) => {
+        this.#send({ group, envelope });
+      },
+    };
   }
 
   stop(): void {
     this.#stopped = true;
   }
 
-  async #drain(peer: string): Promise<void> {
-    this.#sending.add(peer);
-    for (;;) {
-      const envelopes = this.#queues.get(peer) ?? [];
-      if (envelopes.length === 0 || this.#stopped) break;
-      this.#queues.set(peer, []);
-      await this.#deliver(peer, envelopes);
+  #send(queued: Queued): void {
+    const peer = hostOf(queued.envelope);
+    const key = needsNoSync(queued.envelope) ? peer : `${peer} ${queued.group}`;
+    const lane = this.#lanes.get(key) ?? { peer, queue: [], sending: false };
+    this.#lanes.set(key, lane);
+    lane.queue.push(queued);
+    if (lane.queue.length > QUEUE_LIMIT) lane.queue.shift();
+    if (lane.sending) return;
+    lane.sending = true;
+    queueMicrotask(() => void this.#drain(lane));
+  }
+
+  async #drain(lane: Lane): Promise<void> {
+    while (lane.queue.length > 0 && !this.#stopped) {
+      const queued = lane.queue;
+      lane.queue = [];
+      await this.#deliver(lane.peer, byGroup(queued));
     }
-    this.#sending.delete(peer);
+    lane.sending = false;
   }
 
-  async #deliver(peer: string, envelopes: Envelope[]): Promise<void> {
+  async #deliver(peer: string, batches: GroupEnvelopes[]): Promise<void> {
     const { client, clock, logger, receive } = this.#options;
     const { controller, cancel } = startTimeout(clock, DELIVERY_MILLISECONDS);
     try {
       const connection = client.member(peer);
       if (connection === undefined) return;
       const { signal } = controller;
-      const { answers } = await connection.replication.deliver.mutate({ envelopes }, { signal });
-      receive(answers);
+      const { answers } = await connection.replication.deliver.mutate({ batches }, { signal });
+      for (const answer of answers) receive(answer);
     } catch (error) {
       logger.debug({ event: 'replication-send-failed', peer, error: messageOf(error) });
     } finally {
@@ -70,3 +92,16 @@
     }
   }
 }
+
+function needsNoSync({ message }: Envelope): boolean {
+  if (message.kind === 'append') return message.entries.length === 0;
+  return message.kind === 'hello' || message.kind === 'append-answer';
+}
+
+function byGroup(queued: readonly Queued[]): GroupEnvelopes[] {
+  const groups = new Map<string, Envelope[]>();
+  for (const { group, envelope } of queued) {
+    groups.set(group, [...(groups.get(group) ?? []), envelope]);
+  }
+  return [...groups].map(([group, envelopes]) => ({ group, envelopes }));
+}
--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -10,7 +10,7 @@
 import { passThrough } from './pass-through';
 import { Refusal, notRun } from './refusal';
 import { type CallHeaders, authenticate, parseCallHeaders, parseJson, readBody } from './request';
-import { abandonStep, beginStep, completeStep } from './step';
+import { abandonStep, beginStep, completeStep, createInput } from './step';
 
 /** Everything known of one chat call before its program is asked. */
 interface ChatCall {
@@ -53,7 +53,7 @@
     headers,
     request,
     messages: request.messages.map(normalizeMessage),
-    program: headers.program ?? `p-${context.random.hex(12)}`,
+    program: headers.program ?? context.programIds.create(configuration),
     attempt: context.random.hex(12),
     alone: headers.program === undefined,
   });
@@ -175,7 +175,7 @@
     entry: context.identity,
     service: service.name,
     requestDigest: digestValue({ ...request, messages, stream: null, stream_options: null }),
-    ...(call.alone ? { create: { id: program, team: team.name } } : {}),
+    ...(call.alone ? { create: createInput(context, program, team) } : {}),
     history: headers.appendsHistory
       ? { kind: 'append' }
       : { kind: 'whole', digests: digestPrefixes(messages) },
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -12,6 +12,7 @@
 import type { EntrySettings } from '../settings';
 import type { TargetDirectory } from './directory';
 import { Refusal, notRun } from './refusal';
+import type { ProgramIds } from './program-ids';
 import type { SidecarClient } from './sidecar-client';
 
 /** What the handlers of an entry share. */
@@ -23,6 +24,7 @@
   readonly control: ControlClient;
   readonly directory: TargetDirectory;
   readonly sidecars: SidecarClient;
+  readonly programIds: ProgramIds;
   readonly policy: RoutingPolicy;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/entry/process.ts
+++ b/src/entry/process.ts
@@ -9,9 +9,10 @@
   adoptChanges,
 } from '../protocol';
 import { createPolicy } from '../routing';
-import type { EntrySettings } from '../settings';
+import { type EntrySettings, programGroups } from '../settings';
 import type { EntryContext } from './context';
 import { TargetDirectory } from './directory';
+import { ProgramIds } from './program-ids';
 import { EntryServer } from './server';
 import { SidecarClient } from './sidecar-client';
 
@@ -41,6 +42,11 @@
     control,
     directory,
     sidecars,
+    programIds: new ProgramIds({
+      groups: programGroups(cluster),
+      availabilityZone: host['availability-zone'],
+      random,
+    }),
     policy: createPolicy(entry.policy),
     clock,
     random,
@@ -65,7 +71,7 @@
       configurationNumber: configuration.number,
     }),
     position: () => ({
-      configurationNumber: configuration.number,
+      configurationNumber: configuration.knownNumber,
       directory: directory.position,
     }),
     onChanges,
--- a/src/entry/programs.ts
+++ b/src/entry/programs.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import * as z from 'zod';
 import type { Team } from '../configuration';
-import { digestValue } from '../core';
-import type { ProgramView } from '../state';
+import { type ProgramView, groupOfProgram } from '../state';
 import { type EntryContext, askControl, configurationOf } from './context';
+import { groupOf } from './program-ids';
 import { Refusal, notRun } from './refusal';
 import { authenticate, parseCallHeaders, parseJson, readBody } from './request';
 import { statusOf } from './step';
@@ -55,30 +55,55 @@
   );
   const body = await readBody(request, context.settings['body-limit-bytes']);
   const { kind, parent } = parseJson(createSchema, body);
-  const key = headers.idempotencyKey;
-  const id =
-    key === undefined
-      ? `p-${context.random.hex(12)}`
-      : `p-${digestValue([team.name, 'program', key]).slice(0, 24)}`;
   const input = {
-    id,
+    id: chooseId(context, team, parent, headers.idempotencyKey),
     team: team.name,
+    configurationNumber: context.configuration.number,
     ...(kind === undefined ? {} : { kind }),
     ...(parent === undefined ? {} : { parent }),
   };
   const outcome = await askControl('unknown', () =>
-    context.control.call((connection, signal) =>
-      connection.programs.create.mutate(input, { signal }),
+    context.control.call(
+      (connection, signal) => connection.programs.create.mutate(input, { signal }),
+      { group: groupOf(input.id) },
     ),
   );
   if (outcome.outcome === 'created') return outcome.program;
   throw refusalOf(outcome);
 }
 
+function chooseId(
+  context: EntryContext,
+  team: Team,
+  parent: string | undefined,
+  key: string | undefined,
+): string {
+  const { programIds } = context;
+  const parts = [team.name, 'program', key ?? ''];
+  if (parent === undefined) {
+    return key === undefined
+      ? programIds.create(configurationOf(context))
+      : programIds.fromKey(parts);
+  }
+  groupOfParent(parent);
+  return key === undefined
+    ? programIds.createChild(parent)
+    : programIds.childFromKey(parent, parts);
+}
+
+function groupOfParent(parent: string): string {
+  const group = groupOfProgram(parent);
+  if (group !== undefined) return group;
+  throw notRun(404, 'unknown-parent', `no program "${parent}"`);
+}
+
 async function getProgram(context: EntryContext, team: Team, id: string): Promise<ProgramView> {
+  const group = groupOf(id);
   const outcome = await askControl('not-run', () =>
-    context.control.call((connection, signal) =>
-      connection.programs.get.query({ program: id, team: team.name }, { signal }),
+    context.control.call(
+      (connection, signal) =>
+        connection.programs.get.query({ program: id, team: team.name }, { signal }),
+      { group },
     ),
   );
   if (outcome.outcome === 'found') return outcome.program;
@@ -87,9 +112,11 @@
 
 async function endProgram(context: EntryContext, team: Team, id: string): Promise<ProgramView> {
   const end = { program: id, reason: 'deleted' } as const;
+  const group = groupOf(id);
   const outcome = await askControl('unknown', () =>
-    context.control.call((connection, signal) =>
-      connection.programs.end.mutate({ end, team: team.name }, { signal }),
+    context.control.call(
+      (connection, signal) => connection.programs.end.mutate({ end, team: team.name }, { signal }),
+      { group },
     ),
   );
   if (outcome.outcome === 'ended') return outcome.program;
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -11,6 +11,8 @@
   | 'not-ours'
   | 'body-too-large'
   | 'unknown-model'
+  | 'unknown-program'
+  | 'unknown-parent'
   | 'no-target'
   | 'target-failed'
   | 'outcome-unknown'
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -4,13 +4,14 @@
 import type { BeginStep, CallAnswer } from '../state';
 import { type EntryContext, configurationOf, startDeadline } from './context';
 import { endToEndHeaders, passThrough } from './pass-through';
+import { groupOf } from './program-ids';
 import { Refusal, notRun } from './refusal';
 import { type CallHeaders, authenticate, parseCallHeaders, readBody } from './request';
 import { chooseTarget } from './route';
 import { isRepeatable, parseServicePath } from './service-path';
 import { type ServiceCall, sendTo } from './service-call';
 import { CallError } from './sidecar-client';
-import { abandonStep, beginStep, completeStep } from './step';
+import { abandonStep, beginStep, completeStep, createInput } from './step';
 
 const TRY_LIMIT = 3;
 
@@ -67,8 +68,9 @@
   service: Service,
   headers: CallHeaders,
 ): string {
-  if (headers.idempotencyKey === undefined) return `p-${context.random.hex(12)}`;
-  return `k-${digestValue([team.name, service.name, headers.idempotencyKey]).slice(0, 32)}`;
+  const { idempotencyKey } = headers;
+  if (idempotencyKey === undefined) return context.programIds.create(configurationOf(context));
+  return context.programIds.fromKey([team.name, service.name, idempotencyKey]);
 }
 
 /** The caller's key to martenbay is not the service's business. */
@@ -198,11 +200,13 @@
   }
   const { program } = call;
   await context.control
-    .call((connection, signal) =>
-      connection.steps.resolve.mutate(
-        { program, sequence, attempt, finding: { kind: 'unknown' } },
-        { signal },
-      ),
+    .call(
+      (connection, signal) =>
+        connection.steps.resolve.mutate(
+          { program, sequence, attempt, finding: { kind: 'unknown' } },
+          { signal },
+        ),
+      { group: groupOf(program) },
     )
     .catch((cause: unknown) => {
       context.logger.warn({ event: 'resolve-failed', program, sequence, cause: messageOf(cause) });
@@ -226,7 +230,7 @@
     team: team.name,
     ...(headers.sequence === undefined ? {} : { sequence: headers.sequence }),
     ...(headers.idempotencyKey === undefined ? {} : { key: headers.idempotencyKey }),
-    ...(call.alone ? { sequence: 1, create: { id: program, team: team.name } } : {}),
+    ...(call.alone ? { sequence: 1, create: createInput(context, program, team) } : {}),
     attempt,
     entry: context.identity,
     service: service.name,
--- a/src/entry/step.ts
+++ b/src/entry/step.ts
@@ -1,4 +1,4 @@
-import type { Target } from '../configuration';
+import type { Target, Team } from '../configuration';
 import { messageOf, startTimeout } from '../core';
 import type {
   Answer,
@@ -6,13 +6,20 @@
   BeginStep,
   Claim,
   CompleteStep,
+  CreateProgram,
   ResolveStep,
   RunStep,
 } from '../state';
 import { type EntryContext, askControl, configurationOf } from './context';
+import { groupOf } from './program-ids';
 import { Refusal, notRun } from './refusal';
 import type { SettledAttempt } from './sidecar-client';
 
+/** What begins a program of one call, for a call that names none. */
+export function createInput(context: EntryContext, id: string, team: Team): CreateProgram {
+  return { id, team: team.name, configurationNumber: context.configuration.number };
+}
+
 /** Longest time that the leader holds one request to begin; milliseconds. */
 const HOLD_MILLISECONDS = 10_000;
 
@@ -88,14 +95,15 @@
   remaining: number,
 ): Promise<BeginOutcome> {
   const waitMilliseconds = Math.max(0, Math.min(Math.floor(remaining), HOLD_MILLISECONDS));
-  const limits = {
+  const options = {
+    group: groupOf(step.program),
     deadlineMilliseconds: Math.max(0, remaining) + ANSWER_MILLISECONDS,
     attemptMilliseconds: HOLD_MILLISECONDS + ANSWER_MILLISECONDS,
   };
   return askControl('not-run', () =>
     context.control.call<BeginOutcome>(
       (connection, signal) => connection.steps.begin.mutate({ step, waitMilliseconds }, { signal }),
-      limits,
+      options,
     ),
   );
 }
@@ -140,8 +148,10 @@
   context.logger.info({ event: 'attempt-settled', program, ...step, finding: finding.kind });
   const { sequence, attempt } = step;
   await askControl('unknown', () =>
-    context.control.call((connection, signal) =>
-      connection.steps.resolve.mutate({ program, sequence, attempt, finding }, { signal }),
+    context.control.call(
+      (connection, signal) =>
+        connection.steps.resolve.mutate({ program, sequence, attempt, finding }, { signal }),
+      { group: groupOf(program) },
     ),
   );
 }
@@ -198,7 +208,7 @@
     context.control.call(
       (connection, signal) =>
         connection.steps.complete.mutate({ ...step, messages: [...step.messages] }, { signal }),
-      { deadlineMilliseconds: COMPLETE_MILLISECONDS },
+      { group: groupOf(step.program), deadlineMilliseconds: COMPLETE_MILLISECONDS },
     ),
   );
   if (outcome.outcome === 'recorded') return step.answer;
@@ -233,7 +243,9 @@
 }
 
 async function offerAbandon(context: EntryContext, step: FailedAttempt): Promise<void> {
-  await context.control.call((connection, signal) =>
-    connection.steps.abandon.mutate({ ...step, holders: [...step.holders] }, { signal }),
+  await context.control.call(
+    (connection, signal) =>
+      connection.steps.abandon.mutate({ ...step, holders: [...step.holders] }, { signal }),
+    { group: groupOf(step.program) },
   );
 }
--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -105,7 +105,8 @@
     const lagging = status.nodes
       .filter((node) => node.state !== 'lost' && node.configurationNumber < number)
       .map((node) => node.name);
-    if (lagging.length === 0 || clock.monotonic() >= deadline) return lagging;
+    const known = status.nodesComplete && lagging.length === 0;
+    if (known || clock.monotonic() >= deadline) return lagging;
     await delay(clock, POLL_MILLISECONDS);
   }
 }
--- a/src/operator/read.ts
+++ b/src/operator/read.ts
@@ -1,5 +1,5 @@
 import { type Configuration, parseConfiguration } from '../configuration';
-import type { Status } from '../protocol';
+import type { GroupStatus, Status } from '../protocol';
 import type { CommandOptions } from './apply';
 import { OPERATOR_EXIT, type OperatorExit } from './exit';
 import { type Rows, writeOutput } from './output';
@@ -99,19 +99,19 @@
 }
 
 function statusTables(current: Status): readonly Rows[] {
-  const { leader, term, appliedIndex, configuration, lagging, pendingOrders } = current;
-  const { learners, silent } = current;
-  const controls = [...current.voters, ...learners].map((name) => {
-    if (silent.includes(name)) return `${name} (silent)`;
-    return learners.includes(name) ? `${name} (being filled)` : name;
-  });
+  const { configuration, lagging, pendingOrders } = current;
   const summary: Rows = [
-    ['leader', `${leader} (term ${term}, index ${appliedIndex})`],
-    ['control hosts', controls.join(', ')],
     ['configuration', `${configuration.number} ${configuration.digest.slice(0, 12)}`],
     ['lagging', lagging.length === 0 ? 'none' : lagging.join(', ')],
     ['orders waiting', String(pendingOrders)],
   ];
+  const groups = current.groups.map((group) => [
+    group.group,
+    group.leader ?? 'none answers',
+    String(group.term),
+    String(group.appliedIndex),
+    describeMembers(group),
+  ]);
   const nodes = current.nodes.map((node) => [
     node.name,
     node.kind,
@@ -128,7 +128,16 @@
   ]);
   return [
     summary,
+    [['GROUP', 'LEADER', 'TERM', 'INDEX', 'CONTROL HOSTS'], ...groups],
     [['PROCESS', 'KIND', 'STATE', 'CONFIGURATION', 'TARGET', 'RUNNING+WAITING'], ...nodes],
     [['TEAM', 'LIVE', 'ENDED', 'NEAR BUDGET'], ...teams],
   ];
 }
+
+function describeMembers({ voters, learners, silent }: GroupStatus): string {
+  const members = [...voters, ...learners].map((name) => {
+    if (silent.includes(name)) return `${name} (silent)`;
+    return learners.includes(name) ? `${name} (being filled)` : name;
+  });
+  return members.join(', ');
+}
--- a/src/protocol/control-client.ts
+++ b/src/protocol/control-client.ts
@@ -8,6 +8,7 @@
   formatAddress,
   messageOf,
 } from '../core';
+import { CONFIGURATION_GROUP } from '../state/groups';
 import type { ControlRouter } from './router';
 import type { NotLeader } from './schemas';
 import { ControlSocket, socketLink } from './socket';
@@ -44,8 +45,10 @@
   readonly connection: ControlConnection;
 }
 
-/** How long to wait for an answer in all, and from one member; milliseconds. */
-export interface CallLimits {
+/** Which leader is asked, and how long for: in all, and at one member; milliseconds. */
+export interface CallOptions {
+  /** The configuration's unless given. */
+  readonly group?: string;
   readonly deadlineMilliseconds?: number;
   readonly attemptMilliseconds?: number;
 }
@@ -53,7 +56,7 @@
 const RETRY_MILLISECONDS = 25;
 
 /**
- * Calls whichever control host leads. A call is repeated at other members until one answers or
+ * Calls whichever control host leads a group. A call is repeated at other members until one answers or
  * its deadline passes; every procedure gives a repeated call the same answer.
  */
 export class ControlClient implements Component {
@@ -62,7 +65,8 @@
   readonly #members: readonly MemberConnection[];
   /** Calls under way, each with the member that it waits for. */
   readonly #attempts = new Map<AbortController, MemberConnection>();
-  #current = 0;
+  /** Place in the list of members of the one that is asked first, by group. */
+  readonly #current = new Map<string, number>();
   #stopped = false;
 
   constructor(options: ControlClientOptions) {
@@ -88,34 +92,34 @@
   }
 
   /**
-   * Runs an operation at the leader.
+   * Runs an operation at the leader of a group.
    *
    * @throws {@link ControlUnavailableError} when no member answered in time
    */
   async call<T extends { readonly outcome: string }>(
     operate: (connection: ControlConnection, signal: AbortSignal) => Promise<T | NotLeader>,
-    limits: CallLimits = {},
+    options: CallOptions = {},
   ): Promise<Exclude<T, NotLeader>> {
-    const { deadlineMilliseconds = 10_000, attemptMilliseconds = this.#attemptMilliseconds } =
-      limits;
+    const { group = CONFIGURATION_GROUP, deadlineMilliseconds = 10_000 } = options;
+    const { attemptMilliseconds = this.#attemptMilliseconds } = options;
     const deadline = this.#clock.monotonic() + deadlineMilliseconds;
     let failure: unknown = new Error('no control host leads');
     for (;;) {
       const remaining = deadline - this.#clock.monotonic();
       if (remaining <= 0 || this.#stopped) break;
-      const member = this.#members[this.#current];
+      const member = this.#members[this.#current.get(group) ?? 0];
       if (member === undefined) break;
       try {
         const limit = Math.min(remaining, attemptMilliseconds);
         const answer = await this.#attempt(member, operate, limit);
         if (answer.outcome !== 'not-leader') return answer as Exclude<T, NotLeader>;
-        this.#follow(member, (answer as NotLeader).leader);
+        this.#follow(group, member, (answer as NotLeader).leader);
       } catch (error) {
         if (isUnauthorized(error)) {
           throw new ControlUnavailableError('the control host refused the credential', true, error);
         }
         failure = error;
-        this.#leave(member);
+        this.#leave(group, member);
       }
       await delay(this.#clock, RETRY_MILLISECONDS);
     }
@@ -152,15 +156,16 @@
   }
 
   /** Turns to the next member, once for all the calls that fail at this one. */
-  #leave(member: MemberConnection): void {
+  #leave(group: string, member: MemberConnection): void {
     const index = this.#members.indexOf(member);
-    if (this.#current === index) this.#current = (index + 1) % this.#members.length;
+    const current = this.#current.get(group) ?? 0;
+    if (current === index) this.#current.set(group, (index + 1) % this.#members.length);
   }
 
-  #follow(member: MemberConnection, leader: string | undefined): void {
+  #follow(group: string, member: MemberConnection, leader: string | undefined): void {
     const index = this.#members.findIndex((other) => other.name === leader);
-    if (index >= 0) this.#current = index;
-    else this.#leave(member);
+    if (index >= 0) this.#current.set(group, index);
+    else this.#leave(group, member);
   }
 }
 
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -13,10 +13,19 @@
   parseLoad,
 } from './headers';
 export { HttpListener, type HealthSource, answerHealth } from './listen';
-export type { ControlApi, Delivered, FoundProgram, InForce } from './router';
 export type {
-  ConfigurationContent,
+  ControlApi,
+  Delivered,
+  EntryLife,
+  FoundProgram,
+  GroupEnvelopes,
+  InForce,
+  OrderOffer,
+} from './router';
+export type {
   DirectoryChanges,
+  GroupStatus,
+  GroupSummary,
   Heartbeat,
   Load,
   NodeState,
--- a/src/protocol/presence.ts
+++ b/src/protocol/presence.ts
@@ -31,8 +31,8 @@
   logger: Logger,
 ): void {
   if (changes.configuration === undefined) return;
-  const { number, files } = changes.configuration;
-  const outcome = configuration.adopt(number, files);
+  const { number } = changes.configuration;
+  const outcome = configuration.adopt(changes.configuration);
   logger.info({ event: 'configuration', outcome, number });
   void presence.announce();
 }
--- a/src/protocol/router.ts
+++ b/src/protocol/router.ts
@@ -1,5 +1,6 @@
 import { TRPCError, initTRPC } from '@trpc/server';
 import * as z from 'zod';
+import { type SourceFile } from '../configuration';
 import { type Envelope, envelopeSchema } from '../replication';
 import {
   type AbandonStep,
@@ -21,11 +22,13 @@
   beginStepSchema,
   completeStepSchema,
   createProgramSchema,
+  type Order,
   endProgramSchema,
+  orderSchema,
   resolveStepSchema,
 } from '../state';
 import {
-  type ConfigurationContent,
+  type GroupSummary,
   type Heartbeat,
   type NotLeader,
   type Noted,
@@ -45,18 +48,49 @@
 /** The configuration in force, if any was applied. */
 export interface InForce {
   readonly outcome: 'in-force';
-  readonly configuration?: ConfigurationContent | undefined;
+  readonly configuration?:
+    | {
+        readonly number: number;
+        readonly digest: string;
+        readonly files: readonly SourceFile[];
+      }
+    | undefined;
 }
 
-/** A member's answers to replication messages. */
+const groupEnvelopesSchema = z.object({
+  group: z.string(),
+  envelopes: z.array(envelopeSchema).readonly(),
+});
+
+/** Replication messages of one group. */
+export interface GroupEnvelopes {
+  readonly group: string;
+  readonly envelopes: readonly Envelope[];
+}
+
+/** A host's answers to replication messages. */
 export interface Delivered {
-  readonly answers: readonly Envelope[];
+  readonly answers: readonly GroupEnvelopes[];
+}
+
+/** Whether an entry process has surely ended, as far as the leader of the configuration knows. */
+export interface EntryLife {
+  readonly outcome: 'entry-life';
+  readonly dead: boolean;
+}
+
+const offerSchema = z.object({ group: z.string(), orders: z.array(orderSchema).readonly() });
+
+/** All orders of one group that targets have not confirmed yet. */
+export interface OrderOffer {
+  readonly group: string;
+  readonly orders: readonly Order[];
 }
 
 /** What a control host offers to the other processes and to operators. */
 export interface ControlApi {
   createProgram(input: CreateProgram): Promise<Created | Refused | NotLeader>;
-  getProgram(program: string, team: string): FoundProgram | Refused | NotLeader;
+  getProgram(program: string, team: string): Promise<FoundProgram | Refused | NotLeader>;
   endProgram(input: EndProgram, team: string): Promise<Ended | Refused | NotLeader>;
   beginStep(input: BeginStep, waitMilliseconds: number): Promise<BeginOutcome | NotLeader>;
   completeStep(input: CompleteStep): Promise<CompleteOutcome | NotLeader>;
@@ -65,10 +99,14 @@
   heartbeat(input: Heartbeat): Noted | NotLeader;
   watch(input: Watch): Promise<WatchChanges | NotLeader>;
   confirmOrders(orders: readonly string[]): Promise<Noted | NotLeader>;
+  entryLife(identity: string): EntryLife | NotLeader;
+  offerOrders(offer: OrderOffer): Noted | NotLeader;
+  settleOrders(group: string, orders: readonly string[]): Promise<Noted | NotLeader>;
+  summary(group: string): GroupSummary | NotLeader;
   applyConfiguration(input: AcceptConfiguration): Promise<AcceptOutcome | NotLeader>;
   configurationInForce(): InForce | NotLeader;
-  status(): Status | NotLeader;
-  deliver(envelopes: readonly Envelope[]): Promise<Delivered>;
+  status(): Promise<Status | NotLeader>;
+  deliver(batches: readonly GroupEnvelopes[]): Promise<Delivered>;
 }
 
 /** Who is calling, from the credential shown when the connection was opened. */
@@ -126,10 +164,22 @@
       get: operator.query(() => api.configurationInForce()),
     }),
     status: operator.query(() => api.status()),
+    groups: t.router({
+      entryLife: process
+        .input(z.object({ identity: z.string() }))
+        .query(({ input }) => api.entryLife(input.identity)),
+      offerOrders: process.input(offerSchema).mutation(({ input }) => api.offerOrders(input)),
+      settleOrders: process
+        .input(z.object({ group: z.string(), orders: z.array(z.string()) }))
+        .mutation(({ input }) => api.settleOrders(input.group, input.orders)),
+      summary: process
+        .input(z.object({ group: z.string() }))
+        .query(({ input }) => api.summary(input.group)),
+    }),
     replication: t.router({
       deliver: process
-        .input(z.object({ envelopes: z.array(envelopeSchema) }))
-        .mutation(({ input }) => api.deliver(input.envelopes)),
+        .input(z.object({ batches: z.array(groupEnvelopesSchema) }))
+        .mutation(({ input }) => api.deliver(input.batches)),
     }),
   });
 }
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type { SourceFile } from '../configuration';
+import type { ConfigurationChanges } from '../state/configuration-machine';
 import type { Order } from '../state/records';
 
 const name = z.string().min(1).max(100);
@@ -62,18 +62,11 @@
   readonly targets: readonly TargetRecord[];
 }
 
-/** A configuration with its identity. */
-export interface ConfigurationContent {
-  readonly number: number;
-  readonly digest: string;
-  readonly files: readonly SourceFile[];
-}
-
 export interface WatchChanges {
   readonly outcome: 'changes';
   /** The leader's term, which fences its orders. */
   readonly term: number;
-  readonly configuration?: ConfigurationContent | undefined;
+  readonly configuration?: ConfigurationChanges | undefined;
   readonly directory?: DirectoryChanges | undefined;
   readonly orders: readonly Order[];
 }
@@ -100,10 +93,11 @@
   readonly nearBudget: number;
 }
 
-/** What is in force, at a glance. */
-export interface Status {
-  readonly outcome: 'status';
-  readonly leader: string;
+/** One replicated group, as its leader sees it. */
+export interface GroupStatus {
+  readonly group: string;
+  /** Absent when nobody answers for the group. */
+  readonly leader?: string | undefined;
   readonly term: number;
   readonly appliedIndex: number;
   /** Control hosts that vote, and those that are being filled, by name. */
@@ -111,8 +105,24 @@
   readonly learners: readonly string[];
   /** Those of them that have not answered the leader for a while. */
   readonly silent: readonly string[];
+}
+
+/** What the leader of a group of programs tells about them. */
+export interface GroupSummary {
+  readonly outcome: 'summary';
+  readonly group: GroupStatus;
+  readonly teams: readonly TeamStatus[];
+}
+
+/** What is in force, at a glance. */
+export interface Status {
+  readonly outcome: 'status';
+  /** The configuration's group first. */
+  readonly groups: readonly GroupStatus[];
   readonly configuration: { readonly number: number; readonly digest: string };
   readonly nodes: readonly NodeStatus[];
+  /** Whether every live process has had the time to be heard since the leader took over. */
+  readonly nodesComplete: boolean;
   readonly lagging: readonly string[];
   readonly teams: readonly TeamStatus[];
   readonly pendingOrders: number;
--- a/src/replication/greetings.ts
+++ b/src/replication/greetings.ts
@@ -31,7 +31,7 @@
    * new, list the same hosts, and this one's name is the first of them.
    */
   foundingMembership(own: Hello, now: number): Membership | undefined {
-    const names = [...own.hosts].sort();
+    const names = own.hosts;
     const others = this.#recent(now).filter(
       (hello) => hello.isNew && hello.hosts.join() === own.hosts.join(),
     );
--- a/src/replication/index.ts
+++ b/src/replication/index.ts
@@ -10,5 +10,10 @@
 export { type Membership, allMembers, nameOf } from './membership';
 export type { RaftOutput } from './outbox';
 export { RaftMember, type RaftOptions, type RaftRole } from './raft';
-export type { ReplicatedLogOptions, ReplicationTransport, StateMachine } from './log-options';
+export type {
+  LogView,
+  ReplicatedLogOptions,
+  ReplicationTransport,
+  StateMachine,
+} from './log-options';
 export { ReplicatedLog } from './replicated-log';
--- a/src/replication/log-options.ts
+++ b/src/replication/log-options.ts
@@ -1,6 +1,7 @@
-import type { Clock, RandomSource } from '../core';
+import type { CancelTimer, Clock, RandomSource } from '../core';
 import type { RecordStore } from '../storage';
 import type { Membership } from './membership';
+import type { RaftRole } from './raft';
 import type { Envelope } from './messages';
 
 /** Carries messages to other members; delivery may fail, repeat or come out of order. */
@@ -22,13 +23,19 @@
 export interface ReplicatedLogOptions<Result> {
   /** Name of this host. */
   readonly self: string;
-  /** Names of the hosts that are to be members, this one included; it may change over time. */
+  /**
+   * Names of the hosts that are to be members, this one included, in the same order everywhere.
+   * The first one founds the log, and is given the lead again some time after it lost it. The list
+   * may change over time.
+   */
   readonly hosts: () => readonly string[];
   readonly store: RecordStore;
   readonly transport: ReplicationTransport;
   readonly machine: StateMachine<Result>;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Calls an action at least twice in a heartbeat time; a timer of its own unless given. */
+  readonly everyTick?: (action: () => void) => CancelTimer;
   readonly heartbeatMilliseconds?: number;
   readonly electionMilliseconds?: number;
   /** Applied entries from which a snapshot takes their place. */
@@ -42,3 +49,21 @@
   /** Called once when the disk fails; the member takes no further part. */
   readonly onFailure?: (error: unknown) => void;
 }
+
+/** A replicated log as those see it who propose nothing. */
+export interface LogView {
+  readonly role: RaftRole;
+  readonly term: number;
+  /** Identity of the leader, if one is known. */
+  readonly leader: string | undefined;
+  readonly membership: Membership;
+  /** Members that have not answered this leader for a while. */
+  readonly silentMembers: readonly string[];
+  readonly appliedIndex: number;
+  /** Whether this member leads and its state holds every acknowledged command. */
+  readonly serves: boolean;
+  /** Takes messages from other members; what they cause goes out through the transport. */
+  receive(envelopes: readonly Envelope[]): void;
+  /** Takes messages that one member sent, and resolves with the answers to it. */
+  exchange(envelopes: readonly Envelope[]): Promise<readonly Envelope[]>;
+}
--- a/src/replication/membership-keeper.ts
+++ b/src/replication/membership-keeper.ts
@@ -1,5 +1,5 @@
 import { Greetings } from './greetings';
-import { type Membership, allMembers } from './membership';
+import { type Membership, allMembers, nameOf } from './membership';
 import { planMembership } from './membership-plan';
 import type { Envelope, Hello } from './messages';
 import type { RaftMember } from './raft';
@@ -16,6 +16,9 @@
   readonly onChange: (membership: Membership, reason: string) => void;
 }
 
+/** How long a leader leads before it hands over to the host that is listed first; milliseconds. */
+const PREFERENCE_MILLISECONDS = 5000;
+
 /** Founds a log, asks to be taken into it, and as its leader brings it to the hosts listed. */
 export class MembershipKeeper {
   readonly #options: MembershipKeeperOptions;
@@ -32,6 +35,7 @@
   tick(member: RaftMember, now: number): void {
     const isMember = allMembers(member.membership).includes(this.#options.identity);
     if (isMember && member.mayChangeMembership) this.#keep(member, now);
+    if (isMember) this.#preferFirst(member, now);
     if (!isMember || member.isLeaderless(now)) this.#introduce(member, now);
   }
 
@@ -45,16 +49,26 @@
   /** Greets the hosts listed, and founds the log with them if all are new. */
   #introduce(member: RaftMember, now: number): void {
     const { self, identity, hosts, send } = this.#options;
-    const sorted = [...hosts()].sort();
     const { isNew } = member;
-    const hello: Hello = { kind: 'hello', from: identity, isNew, hosts: sorted };
-    for (const to of sorted) {
+    const hello: Hello = { kind: 'hello', from: identity, isNew, hosts: hosts() };
+    for (const to of hello.hosts) {
       if (to !== self) send({ to, message: hello });
     }
     const founding = this.#greetings.foundingMembership(hello, now);
     if (founding !== undefined) member.found(founding, now);
   }
 
+  /** Spreads the leaders of many logs over their hosts again after failures. */
+  #preferFirst(member: RaftMember, now: number): void {
+    const [first = ''] = this.#options.hosts();
+    const rested = now - member.leaderSince >= PREFERENCE_MILLISECONDS;
+    if (!member.ready || !rested || nameOf(this.#options.identity) === first) return;
+    const silent = this.silentMembers(member, now);
+    const preferred = member.membership.voters.find((voter) => nameOf(voter) === first);
+    if (preferred === undefined || silent.includes(preferred)) return;
+    member.transferLeadership(now, preferred);
+  }
+
   #keep(member: RaftMember, now: number): void {
     const { identity, hosts, silenceMilliseconds, onChange } = this.#options;
     const step = planMembership({
--- a/src/replication/messages.ts
+++ b/src/replication/messages.ts
@@ -113,7 +113,7 @@
   from: member,
   /** Whether it holds nothing yet, so that it can found a log with others like it. */
   isNew: z.boolean(),
-  /** Names of the hosts that its settings list, sorted. */
+  /** Names of the hosts that its settings list, the one that is to lead first. */
   hosts: z.array(z.string()).readonly(),
 });
 export type Hello = Readonly<z.output<typeof helloSchema>>;
--- a/src/replication/raft.ts
+++ b/src/replication/raft.ts
@@ -282,17 +282,19 @@
     if (this.#role === 'leader') this.#advanceCommit();
   }
 
-  /** Hands leadership to the peer that is furthest along; used before a planned stop. */
-  transferLeadership(now: number): void {
+  /** Hands leadership to a peer: the voter that is furthest along unless one is named. */
+  transferLeadership(now: number, to?: string): void {
     if (this.#role !== 'leader') return;
-    const [peer, progress] = this.#progress.furthest() ?? [];
+    const [furthest] = this.#progress.furthest() ?? [];
+    const peer = to ?? furthest;
+    const progress = this.#progress.get(peer ?? '');
     if (peer === undefined || progress === undefined) return;
     if (progress.matchIndex < this.#log.lastIndex) {
       this.#sendAppend(peer, progress, now);
       return;
     }
+    if (!this.#transferring) this.#transferredAt = now;
     this.#transferring = true;
-    this.#transferredAt = now;
     this.#outbox.send(peer, { kind: 'campaign-now', term: this.#term, from: this.#self });
   }
 
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -4,7 +4,7 @@
 import { handOver } from './hand-over';
 import { type Membership, identityOf } from './membership';
 import { MembershipKeeper } from './membership-keeper';
-import type { ReplicatedLogOptions } from './log-options';
+import type { LogView, ReplicatedLogOptions } from './log-options';
 import type { Envelope, LogEntry, RaftMessage, SnapshotPart } from './messages';
 import type { RaftOutput } from './outbox';
 import { Proposals } from './proposals';
@@ -33,7 +33,7 @@
  * Runs one {@link RaftMember}: syncs its records, sends its messages, applies what commits, takes
  * and sends snapshots, and brings the membership to the hosts that are listed.
  */
-export class ReplicatedLog<Result> implements Component {
+export class ReplicatedLog<Result> implements Component, LogView {
   readonly #options: ReplicatedLogOptions<Result>;
   readonly #proposals = new Proposals<Result>();
   #incarnation = '';
@@ -62,7 +62,9 @@
     this.#appliedIndex = stored.base.index;
     this.#member.start(clock.monotonic());
     this.#tick();
-    this.#cancelTick = repeat(clock, heartbeatMilliseconds / 2, () => {
+    const { everyTick = (action: () => void) => repeat(clock, heartbeatMilliseconds / 2, action) } =
+      this.#options;
+    this.#cancelTick = everyTick(() => {
       this.#tick();
     });
   }
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,3 +1,4 @@
+export { type ProgramGroup, programGroups } from './groups';
 export { SettingsError, loadSettings, safeLoadSettings, safeParseSettings } from './load';
 export {
   type ClusterSettings,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -4,12 +4,22 @@
 const milliseconds = z.int().positive();
 const logLevel = z.enum(['debug', 'info', 'warn', 'error']).default('info');
 
-const member = z.strictObject({ name, address: addressSchema });
+const member = z.strictObject({
+  name,
+  address: addressSchema,
+  /** Region whose programs it holds; every control host holds the configuration. */
+  region: name.default('main'),
+});
 
 /** What every process of one installation shares. */
 const cluster = z.strictObject({
   /** The control hosts, the same list in every process. */
   control: z.array(member).min(1).readonly(),
+  /**
+   * Groups that the programs of each region are spread over, the same in every process. It may be
+   * raised: programs stay in the group that they were started in.
+   */
+  'program-groups': z.int().min(1).max(64).default(4),
   /** Secret that processes show one another. */
   'process-credential': z.string().min(16),
 });
@@ -34,6 +44,8 @@
     'heartbeat-milliseconds': milliseconds.default(100),
     /** Shortest silence after which a member stands for election; the longest is twice that. */
     'election-milliseconds': milliseconds.default(500),
+    /** Applied changes of one group from which a snapshot takes their place. */
+    'snapshot-entries': z.int().min(16).default(4096),
     /** How long an entry or sidecar counts as live after its last heartbeat. */
     'session-milliseconds': milliseconds.default(3000),
     /** How long an ended program's answers are kept for resends. */
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -85,7 +85,7 @@
       target: sidecar.target,
       load,
     }),
-    position: () => ({ configurationNumber: configuration.number, target: sidecar.target }),
+    position: () => ({ configurationNumber: configuration.knownNumber, target: sidecar.target }),
     onChanges,
   });
   const listener = new HttpListener({
--- a/src/state/budgets.ts
+++ b/src/state/budgets.ts
@@ -1,11 +1,11 @@
-import type { Budget } from '../configuration';
+import type { KindInForce } from './commands';
 import type { Spending } from './records';
 
 /** Spending of a program that has used nothing. */
-export function openSpending(budget: Budget): Spending {
+export function openSpending(kind: KindInForce): Spending {
   return {
-    tokenLimit: budget.tokens,
-    callLimit: budget.calls,
+    tokenLimit: kind.tokenLimit,
+    callLimit: kind.callLimit,
     spentTokens: 0,
     spentCalls: 0,
     reservedTokens: 0,
--- a/src/state/commands.ts
+++ b/src/state/commands.ts
@@ -11,6 +11,20 @@
   kind: z.string().optional(),
   team: z.string(),
   parent: id.optional(),
+  /** Number of the configuration that the asker has in force; the leader waits until it has it. */
+  configurationNumber: z.int().nonnegative(),
+});
+
+/** A kind of program as it was in force when a program of it was started. */
+export const kindInForceSchema = z.object({
+  outcome: z.literal('kind'),
+  name: z.string(),
+  services: z.array(z.string()).readonly(),
+  turnLimit: z.int(),
+  idleMilliseconds: z.number(),
+  lifeMilliseconds: z.number(),
+  tokenLimit: z.int(),
+  callLimit: z.int(),
 });
 
 export const beginStepSchema = z.object({
@@ -83,27 +97,34 @@
   files: z.array(sourceFileSchema).readonly(),
 });
 
-/** Everything that changes the replicated state. `at` is the leader's wall time. */
+/** Everything that changes the programs of a group. `at` is the leader's wall time. */
 export const commandSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('create-program'), at, input: createProgramSchema }),
+  z.object({
+    kind: z.literal('create-program'),
+    at,
+    input: createProgramSchema,
+    kindInForce: kindInForceSchema,
+  }),
   z.object({
     kind: z.literal('begin-step'),
     at,
     input: beginStepSchema,
     /** Attempt that the leader found dead, whose place this one takes. */
     displaces: id.optional(),
+    /** For the program that it creates. */
+    kindInForce: kindInForceSchema.optional(),
   }),
   z.object({ kind: z.literal('complete-step'), at, input: completeStepSchema }),
   z.object({ kind: z.literal('abandon-step'), at, input: abandonStepSchema }),
   z.object({ kind: z.literal('resolve-step'), at, input: resolveStepSchema }),
   z.object({ kind: z.literal('end-program'), at, input: endProgramSchema }),
-  z.object({ kind: z.literal('accept-configuration'), at, input: acceptConfigurationSchema }),
   /** Drops programs that ended long ago, with their answers. */
   z.object({ kind: z.literal('forget-programs'), at, programs: z.array(id).readonly() }),
   z.object({ kind: z.literal('confirm-orders'), at, orders: z.array(id).readonly() }),
 ]);
 
 export type Command = Readonly<z.output<typeof commandSchema>>;
+export type KindInForce = Readonly<z.output<typeof kindInForceSchema>>;
 export type CreateProgram = Readonly<z.output<typeof createProgramSchema>>;
 export type BeginStep = Readonly<z.output<typeof beginStepSchema>>;
 export type CompleteStep = Readonly<z.output<typeof completeStepSchema>>;
--- /dev/null
+++ b/src/state/configuration-machine.ts
@@ -0,0 +1,146 @@
+import * as z from 'zod';
+import {
+  type Configuration,
+  type SourceFile,
+  parseConfiguration,
+  safeParseConfiguration,
+  sourceFileSchema,
+} from '../configuration';
+import type { StateMachine } from '../replication';
+import { type AcceptConfiguration, acceptConfigurationSchema } from './commands';
+import type { AcceptOutcome, NotAccepted } from './outcomes';
+
+/** A file with the number of the configuration that brought it as it is. */
+const versionedFileSchema = sourceFileSchema.extend({ since: z.int() });
+type VersionedFile = Readonly<z.output<typeof versionedFileSchema>>;
+
+/** An accepted configuration with the files it came from. */
+export interface AcceptedConfiguration {
+  readonly configuration: Configuration;
+  readonly files: readonly VersionedFile[];
+}
+
+/** What a process lacks that has an older configuration, or none. */
+export interface ConfigurationChanges {
+  readonly number: number;
+  readonly digest: string;
+  /** Names of all files. */
+  readonly names: readonly string[];
+  /** The files that are new or changed since the number that the process has. */
+  readonly changed: readonly SourceFile[];
+}
+
+const rowSchema = z.discriminatedUnion('table', [
+  z.object({ table: z.literal('files'), value: z.array(versionedFileSchema).readonly() }),
+  z.object({ table: z.literal('digests'), value: z.array(z.tuple([z.int(), z.string()])) }),
+]);
+type Row = Readonly<z.output<typeof rowSchema>>;
+
+/** Digests in one row of a snapshot. */
+const DIGESTS_PER_ROW = 1024;
+
+/**
+ * The replicated configuration. A number and digest that were accepted get the same answer for
+ * ever; the same number with another digest is refused, and so is a lower number.
+ */
+export class ConfigurationStateMachine implements StateMachine<AcceptOutcome> {
+  readonly #onChange: () => void;
+  #accepted: AcceptedConfiguration | undefined;
+  #digests = new Map<number, string>();
+
+  /** `onChange` runs after each configuration that is accepted or restored, at every member. */
+  constructor(onChange: () => void = () => undefined) {
+    this.#onChange = onChange;
+  }
+
+  get accepted(): AcceptedConfiguration | undefined {
+    return this.#accepted;
+  }
+
+  /** Number in force; 0 before the first. */
+  get number(): number {
+    return this.#accepted?.configuration.number ?? 0;
+  }
+
+  /** What has changed since a number; nothing if that is the newest. */
+  changesSince(number: number): ConfigurationChanges | undefined {
+    if (this.#accepted === undefined || number >= this.number) return undefined;
+    const { configuration, files } = this.#accepted;
+    return {
+      number: configuration.number,
+      digest: configuration.digest,
+      names: files.map((file) => file.name),
+      changed: files
+        .filter((file) => file.since > number)
+        .map(({ name, text }) => ({ name, text })),
+    };
+  }
+
+  apply(text: string): AcceptOutcome {
+    const input = acceptConfigurationSchema.parse(JSON.parse(text));
+    const outcome = this.#accept(input);
+    if (outcome.outcome === 'accepted') this.#onChange();
+    return outcome;
+  }
+
+  *snapshot(): Generator<string> {
+    const files = this.#accepted?.files;
+    const digests = [...this.#digests];
+    if (files !== undefined) yield encode({ table: 'files', value: files });
+    for (let start = 0; start < digests.length; start += DIGESTS_PER_ROW) {
+      yield encode({ table: 'digests', value: digests.slice(start, start + DIGESTS_PER_ROW) });
+    }
+  }
+
+  restore(rows: readonly string[]): void {
+    this.#accepted = undefined;
+    this.#digests = new Map();
+    for (const text of rows) {
+      const row = rowSchema.parse(JSON.parse(text));
+      if (row.table === 'files') {
+        this.#accepted = { configuration: parseConfiguration(row.value), files: row.value };
+      } else {
+        for (const [number, digest] of row.value) this.#digests.set(number, digest);
+      }
+    }
+    this.#onChange();
+  }
+
+  #accept({ number, digest, files }: AcceptConfiguration): AcceptOutcome {
+    const winner = this.#digests.get(number);
+    if (winner === digest) return { outcome: 'accepted', number, digest };
+    if (winner !== undefined) {
+      const message = `number ${number} is taken by the configuration with digest ${winner}; raise "number"`;
+      return this.#refuse('number-taken', message);
+    }
+    if (number < this.number) {
+      const message = `number ${number} is lower than ${this.number}, which is in force; raise "number"`;
+      return this.#refuse('number-low', message);
+    }
+    const parsed = safeParseConfiguration(files);
+    if (parsed.err) return this.#refuse('invalid', parsed.val.message);
+    if (parsed.val.number !== number || parsed.val.digest !== digest) {
+      return this.#refuse('invalid', 'the files do not match their number and digest');
+    }
+    this.#accepted = { configuration: parsed.val, files: this.#versioned(files, number) };
+    this.#digests.set(number, digest);
+    return { outcome: 'accepted', number, digest };
+  }
+
+  #versioned(files: readonly SourceFile[], number: number): readonly VersionedFile[] {
+    const known = new Map(this.#accepted?.files.map((file) => [file.name, file]));
+    return files.map((file) => {
+      const same = known.get(file.name);
+      return same?.text === file.text ? same : { ...file, since: number };
+    });
+  }
+
+  #refuse(code: NotAccepted['code'], message: string): NotAccepted {
+    const digest = this.#accepted?.configuration.digest ?? '';
+    return { outcome: 'not-accepted', code, message, number: this.number, digest };
+  }
+}
+
+function encode(row: Row): string {
+  return JSON.stringify(row);
+}
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -6,6 +6,7 @@
   type CompleteStep,
   type CreateProgram,
   type EndProgram,
+  type KindInForce,
   type ResolveStep,
   abandonStepSchema,
   acceptConfigurationSchema,
@@ -15,6 +16,13 @@
   endProgramSchema,
   resolveStepSchema,
 } from './commands';
+export {
+  type AcceptedConfiguration,
+  type ConfigurationChanges,
+  ConfigurationStateMachine,
+} from './configuration-machine';
+export { CONFIGURATION_GROUP, groupOfProgram, programIdOf } from './groups';
+export { resolveKind } from './kinds';
 export { type CommandResult, type CommandResults, ProgramStateMachine } from './machine';
 export {
   type AcceptOutcome,
@@ -41,4 +49,4 @@
   orderSchema,
 } from './records';
 export { evaluateBegin, sequenceOf } from './steps';
-export type { AcceptedConfiguration, Tables } from './tables';
+export type { Tables } from './tables';
--- a/src/state/machine.ts
+++ b/src/state/machine.ts
@@ -1,14 +1,6 @@
 import type { StateMachine } from '../replication';
-import { acceptConfiguration } from './accept';
 import { type Command, commandSchema } from './commands';
-import type {
-  AcceptOutcome,
-  BeginOutcome,
-  CompleteOutcome,
-  Created,
-  Ended,
-  Refused,
-} from './outcomes';
+import type { BeginOutcome, CompleteOutcome, Created, Ended, Refused } from './outcomes';
 import { createProgram, endProgram, forgetPrograms } from './programs';
 import { abandonStep, beginStep, completeStep, resolveStep } from './steps';
 import { restoreTables, snapshotTables } from './snapshot';
@@ -29,7 +21,6 @@
   readonly 'abandon-step': Done;
   readonly 'resolve-step': Done;
   readonly 'end-program': Ended | Refused;
-  readonly 'accept-configuration': AcceptOutcome;
   readonly 'forget-programs': Done;
   readonly 'confirm-orders': Done;
 }
@@ -71,9 +62,9 @@
     const applied = { at: command.at, index };
     switch (command.kind) {
       case 'create-program':
-        return createProgram(tables, command.input, command.at);
+        return createProgram(tables, command.input, command.kindInForce, command.at);
       case 'begin-step':
-        return beginStep(tables, command.input, command.displaces, command.at);
+        return beginStep(tables, command);
       case 'complete-step':
         return completeStep(tables, command.input, applied);
       case 'abandon-step':
@@ -84,8 +75,6 @@
         return DONE;
       case 'end-program':
         return endProgram(tables, command.input, applied);
-      case 'accept-configuration':
-        return acceptConfiguration(tables, command.input);
       case 'forget-programs':
         forgetPrograms(tables, command.programs);
         return DONE;
--- a/src/state/programs.ts
+++ b/src/state/programs.ts
@@ -1,11 +1,9 @@
-import type { CreateProgram, EndProgram } from './commands';
+import type { CreateProgram, EndProgram, KindInForce } from './commands';
 import { openSpending, settle } from './budgets';
 import { type Created, type Ended, type Refused, refuse, viewProgram } from './outcomes';
 import type { EndReason, Program } from './records';
 import type { Tables } from './tables';
 
-const MILLISECONDS = 1000;
-
 /** The log index of a command and its wall time in milliseconds. */
 export interface Applied {
   readonly index: number;
@@ -13,27 +11,20 @@
 }
 
 /** Creates a program; a repeated command with the same id gets the same answer. */
-export function createProgram(tables: Tables, input: CreateProgram, at: number): Created | Refused {
+export function createProgram(
+  tables: Tables,
+  input: CreateProgram,
+  kind: KindInForce,
+  at: number,
+): Created | Refused {
   const existing = tables.programs.get(input.id);
   if (existing !== undefined) return describeExisting(tables, existing, input);
-  const configuration = tables.accepted?.configuration;
-  if (configuration === undefined) {
-    return refuse('no-configuration', 'no configuration was applied yet');
-  }
-  const team = configuration.teams.find((entry) => entry.name === input.team);
-  const kindName = input.kind ?? team?.['default-program'];
-  const kind = configuration.programs.find((entry) => entry.name === kindName);
-  const budget = configuration.budgets.find((entry) => entry.name === kind?.budget);
-  if (kind === undefined || budget === undefined || !kind.teams.includes(input.team)) {
-    return refuse('unknown-kind', `team "${input.team}" has no program kind "${kindName ?? ''}"`);
-  }
   const parent = input.parent === undefined ? undefined : tables.programs.get(input.parent);
   const missing = input.parent !== undefined && parent?.team !== input.team;
   if (missing) return refuse('unknown-parent', `no program "${input.parent ?? ''}"`);
   if (parent?.endReason !== undefined) {
     return refuse('program-ended', `parent "${parent.id}" ended: ${parent.endReason}`);
   }
-  const deadlineAt = at + kind['deadline-seconds'] * MILLISECONDS;
   const program: Program = {
     id: input.id,
     root: parent?.root ?? input.id,
@@ -41,10 +32,10 @@
     team: input.team,
     kind: kind.name,
     services: kind.services,
-    turnLimit: kind['turn-limit'],
-    idleMilliseconds: kind['idle-seconds'] * MILLISECONDS,
+    turnLimit: kind.turnLimit,
+    idleMilliseconds: kind.idleMilliseconds,
     createdAt: at,
-    deadlineAt: Math.min(deadlineAt, parent?.deadlineAt ?? Infinity),
+    deadlineAt: Math.min(at + kind.lifeMilliseconds, parent?.deadlineAt ?? Infinity),
     lastActivityAt: at,
     endReason: undefined,
     endedAt: undefined,
@@ -58,7 +49,7 @@
     holders: [],
   };
   tables.put(program);
-  if (parent === undefined) tables.spending.set(program.id, openSpending(budget));
+  if (parent === undefined) tables.spending.set(program.id, openSpending(kind));
   else
     tables.children.set(
       parent.id,
--- a/src/state/snapshot.ts
+++ b/src/state/snapshot.ts
@@ -1,6 +1,4 @@
 import * as z from 'zod';
-import type { SourceFile } from '../configuration';
-import { parseConfiguration } from '../configuration';
 import type { Order, Program, Spending, Step } from './records';
 import type { Tables } from './tables';
 
@@ -15,12 +13,10 @@
   | { readonly table: 'programs'; readonly value: ProgramRow }
   | { readonly table: 'spending'; readonly key: string; readonly value: Spending }
   | { readonly table: 'children'; readonly key: string; readonly value: readonly string[] }
-  | { readonly table: 'orders'; readonly value: Order }
-  | { readonly table: 'digests'; readonly value: readonly (readonly [number, string])[] }
-  | { readonly table: 'configuration'; readonly value: readonly SourceFile[] };
+  | { readonly table: 'orders'; readonly value: Order };
 
 const tableSchema = z.looseObject({
-  table: z.enum(['programs', 'spending', 'children', 'orders', 'digests', 'configuration']),
+  table: z.enum(['programs', 'spending', 'children', 'orders']),
 });
 
 /**
@@ -32,8 +28,6 @@
   const spending = [...tables.spending];
   const children = [...tables.children];
   const orders = [...tables.orders.values()];
-  const digests = [...tables.acceptedDigests];
-  const files = tables.accepted?.files;
   return {
     *[Symbol.iterator]() {
       for (const program of programs) yield encode({ table: 'programs', value: toRow(program) });
@@ -42,8 +36,6 @@
         yield encode({ table: 'children', key, value: [...value] });
       }
       for (const value of orders) yield encode({ table: 'orders', value });
-      yield encode({ table: 'digests', value: digests });
-      if (files !== undefined) yield encode({ table: 'configuration', value: files });
     },
   };
 }
@@ -70,12 +62,6 @@
       return;
     case 'orders':
       tables.orders.set(row.value.id, row.value);
-      return;
-    case 'digests':
-      for (const [number, digest] of row.value) tables.acceptedDigests.set(number, digest);
-      return;
-    case 'configuration':
-      tables.accepted = { configuration: parseConfiguration(row.value), files: row.value };
   }
 }
 
--- a/src/state/steps.ts
+++ b/src/state/steps.ts
@@ -1,6 +1,6 @@
 import { digestPrefixes } from '../core';
 import { reserve, settle } from './budgets';
-import type { AbandonStep, BeginStep, CompleteStep, ResolveStep } from './commands';
+import type { AbandonStep, BeginStep, Command, CompleteStep, ResolveStep } from './commands';
 import { type BeginOutcome, type CompleteOutcome, type RunStep, refuse } from './outcomes';
 import { type Applied, createProgram, endOne, noteHolders } from './programs';
 import type { Program, RunningStep, Spending, Step } from './records';
@@ -123,12 +123,10 @@
 /** Starts a step if {@link evaluateBegin} lets it run. */
 export function beginStep(
   tables: Tables,
-  input: BeginStep,
-  displaces: string | undefined,
-  at: number,
+  { input, displaces, kindInForce, at }: Extract<Command, { kind: 'begin-step' }>,
 ): BeginOutcome {
-  if (input.create !== undefined) {
-    const created = createProgram(tables, input.create, at);
+  if (input.create !== undefined && kindInForce !== undefined) {
+    const created = createProgram(tables, input.create, kindInForce, at);
     if (created.outcome === 'refused') return created;
   }
   const outcome = evaluateBegin(tables, input, displaces);
--- a/src/state/tables.ts
+++ b/src/state/tables.ts
@@ -1,14 +1,7 @@
-import type { Configuration, SourceFile } from '../configuration';
 import type { Order, Program, Spending } from './records';
 
-/** An accepted configuration with the files it came from. */
-export interface AcceptedConfiguration {
-  readonly configuration: Configuration;
-  readonly files: readonly SourceFile[];
-}
-
 /**
- * All replicated state. The records are immutable and replaced whole; only the state machine
+ * The programs of one group. The records are immutable and replaced whole; only the state machine
  * writes to the maps, and only while it applies a command.
  */
 export class Tables {
@@ -18,9 +11,6 @@
   /** Sub-agents that are live, by parent. */
   readonly children = new Map<string, ReadonlySet<string>>();
   readonly orders = new Map<string, Order>();
-  /** Digest of every number ever accepted, so that a resend gets its first answer for ever. */
-  readonly acceptedDigests = new Map<number, string>();
-  accepted: AcceptedConfiguration | undefined;
 
   /** Replaces one program. */
   put(program: Program): void {
