Histories and answers on disk, not in memory; a damaged history is refilled from peers

Now: a done step keeps a handle; its messages and its answer lie in files of contents, checked by CRC, read when a caller appends or resends, with the latest ones cached (history-cache-megabytes). Ruled out: keeping the log itself as the place of the texts (its beginning could never be cut). Fault that a test found: a damaged log is moved aside with its folder, which held the open files of contents too, and the host ended; they have a folder of their own now. Not yet measured: memory and time of a restart with many long histories (next).

--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -2,8 +2,8 @@
 import { type Clock, type Logger, type RandomSource, messageOf } from '../core';
 import { ReplicatedLog, type ReplicatedLogOptions, type StateMachine } from '../replication';
 import type { ControlSettings } from '../settings';
-import type { CommandResult, ProgramStateMachine } from '../state';
-import { QuarantiningStore, type RecordStore } from '../storage';
+import type { CommandResult, ProgramStateMachine, SnapshotContents } from '../state';
+import { ContentStore, QuarantiningStore, type RecordStore, markDamaged } from '../storage';
 import type { SharedTicker } from './ticker';
 import type { ControlTransport } from './transport';
 
@@ -12,6 +12,8 @@
   readonly name: string;
   readonly log: ReplicatedLog<CommandResult>;
   readonly machine: ProgramStateMachine;
+  /** Histories and answers. */
+  readonly contents: SnapshotContents;
 }
 
 /** What the logs of all groups of one host share. */
@@ -89,3 +91,23 @@
     },
   });
 }
+
+/** The store of the histories and answers of one group. */
+export function createContents(parts: GroupParts, group: string): ContentStore {
+  const { settings, logger, onFailure } = parts;
+  return new ContentStore({
+    folder: join(settings.control['data-folder'], 'contents', group),
+    cacheCharacters: settings.control['history-cache-megabytes'] * CHARACTERS_PER_MEGABYTE,
+    onFailure: (error) => {
+      logger.fatal({ event: 'storage-failed', group, error: error.message });
+      onFailure();
+    },
+    onDamage: (error) => {
+      logger.fatal({ event: 'storage-damaged', group, error: error.message });
+      void markDamaged(join(settings.control['data-folder'], group)).finally(onFailure);
+    },
+  });
+}
+
+/** Histories are mostly of one byte a character. */
+const CHARACTERS_PER_MEGABYTE = 1_000_000;
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -10,9 +10,9 @@
   ConfigurationStateMachine,
   ProgramStateMachine,
 } from '../state';
-import type { RecordStore } from '../storage';
+import type { ContentStore, RecordStore } from '../storage';
 import { announce } from './announce';
-import { type GroupParts, type ProgramGroupMember, createGroupLog } from './group';
+import { type GroupParts, type ProgramGroupMember, createContents, createGroupLog } from './group';
 import { EntryLiveness } from './liveness';
 import { CHANGE_KEYS, Notifier } from './notifier';
 import { OfferedOrders } from './offered-orders';
@@ -45,6 +45,7 @@
 
 /** A group of programs on this host, with what its leader does periodically. */
 interface ProgramGroupParts extends ProgramGroupMember {
+  readonly contents: ContentStore;
   readonly relay: OrderRelay;
 }
 
@@ -121,6 +122,10 @@
 
   #addGroup(lifeCycle: LifeCycle, group: ProgramGroupParts): void {
     const { settings, clock, logger } = this.#options;
+    lifeCycle.add(`${group.name} contents`, {
+      start: () => group.contents.open(),
+      stop: () => group.contents.close(),
+    });
     lifeCycle.add(group.name, group.log);
     lifeCycle.add(`${group.name} orders`, group.relay);
     lifeCycle.add(
@@ -149,7 +154,8 @@
 
   #createGroup(name: string, hosts: readonly string[]): ProgramGroupParts {
     const { settings, clock, logger } = this.#options;
-    const machine = new ProgramStateMachine((command) => {
+    const contents = createContents(this.#groupParts, name);
+    const machine = new ProgramStateMachine(contents, (command) => {
       announce(this.#notifier, command, () => void relay.offer());
     });
     const log = createGroupLog(this.#groupParts, {
@@ -161,13 +167,13 @@
       },
     });
     const relay = new OrderRelay({
-      group: { name, log, machine },
+      group: { name, log, machine, contents },
       client: this.#client,
       clock,
       logger,
       repeatMilliseconds: settings.control['sweep-milliseconds'],
     });
-    return { name, log, machine, relay };
+    return { name, log, machine, contents, relay };
   }
 
   #createListener(address: ControlSettings['host']['address']): HttpListener {
--- a/src/control/program-service.ts
+++ b/src/control/program-service.ts
@@ -3,10 +3,12 @@
 import { ReplicationError, nameOf } from '../replication';
 import {
   type AbandonStep,
+  type BeginDecision,
   type BeginOutcome,
   type BeginStep,
   type Command,
   type CommandResults,
+  type CompleteDecision,
   type CompleteOutcome,
   type CompleteStep,
   type ConfigurationStateMachine,
@@ -17,7 +19,10 @@
   type KindInForce,
   type Refused,
   type ResolveStep,
+  contentsOf,
   evaluateBegin,
+  fillBegin,
+  fillComplete,
   resolveKind,
   sequenceOf,
   viewProgram,
@@ -77,16 +82,21 @@
     const { clock, notifier } = this.#options;
     const deadline = clock.monotonic() + waitMilliseconds;
     for (;;) {
-      const outcome = await this.#tryBegin(input);
+      const decision = await this.#tryBegin(input);
       const remaining = deadline - clock.monotonic();
-      if (outcome.outcome !== 'wait' || remaining <= 0) return outcome;
+      if (decision.outcome === 'not-leader') return decision;
+      if (decision.outcome !== 'wait' || remaining <= 0) {
+        return fillBegin(decision, await this.#textsOf(decision));
+      }
       const wait = Math.min(remaining, DEATH_CHECK_MILLISECONDS);
       await notifier.wait([CHANGE_KEYS.program(input.program)], wait);
     }
   }
 
-  completeStep(input: CompleteStep): Promise<CompleteOutcome | NotLeader> {
-    return this.#propose({ kind: 'complete-step', at: this.#at, input });
+  async completeStep(input: CompleteStep): Promise<CompleteOutcome | NotLeader> {
+    const decision = await this.#propose({ kind: 'complete-step', at: this.#at, input });
+    if (decision.outcome === 'not-leader') return decision;
+    return fillComplete(decision, await this.#textsOf(decision));
   }
 
   abandonStep(input: AbandonStep): Promise<Noted | NotLeader> {
@@ -115,7 +125,12 @@
     return { outcome: 'not-leader', leader: leader === self ? undefined : leader };
   }
 
-  async #tryBegin(input: BeginStep): Promise<BeginOutcome | NotLeader> {
+  #textsOf(decision: BeginDecision | CompleteDecision): Promise<readonly string[]> {
+    const { contents } = this.#options.group;
+    return Promise.all(contentsOf(decision).map((handle) => contents.get(handle)));
+  }
+
+  async #tryBegin(input: BeginStep): Promise<BeginDecision | NotLeader> {
     if (!this.#isServing()) return this.notLeader;
     const displaces = await this.#deadAttempt(input);
     if (!this.#isServing()) return this.notLeader;
--- a/src/replication/compactor.ts
+++ b/src/replication/compactor.ts
@@ -1,4 +1,5 @@
 import type { RecordStore } from '../storage';
+import type { StateMachine } from './log-options';
 import type { LogEntry } from './messages';
 import type { RaftMember, SnapshotHead } from './raft';
 import { encodeSnapshot, encodeTail } from './records';
@@ -7,8 +8,7 @@
   readonly incarnation: string;
   readonly store: RecordStore;
   readonly member: RaftMember;
-  /** Rows of the state machine as it stands. */
-  readonly rows: () => Iterable<string>;
+  readonly machine: Pick<StateMachine<unknown>, 'snapshot' | 'flush'>;
   /** Applied entries from which a snapshot takes their place. */
   readonly snapshotEntries?: number | undefined;
   /** The same as characters of their commands. */
@@ -69,14 +69,16 @@
     }
   }
 
-  #compact(index: number): Promise<void> {
-    const { store, member, incarnation, rows } = this.#options;
-    const tail = member.entriesBetween(index + 1, member.lastIndex);
+  async #compact(index: number): Promise<void> {
+    const { store, member, incarnation, machine } = this.#options;
+    const snapshot = encodeSnapshot(member.headAt(index), machine.snapshot());
     this.#characters = 0;
-    return store.compact({
-      snapshot: encodeSnapshot(member.headAt(index), rows()),
-      records: encodeTail(incarnation, member.hardState, tail),
-      exclusive: false,
-    });
+    const finish = await machine.flush?.();
+    // A snapshot from the leader may have come in between, which is newer.
+    if (member.base.index > index) return;
+    const tail = member.entriesBetween(index + 1, member.lastIndex);
+    const records = encodeTail(incarnation, member.hardState, tail);
+    await store.compact({ snapshot, records, exclusive: false });
+    await finish?.();
   }
 }
--- a/src/replication/log-options.ts
+++ b/src/replication/log-options.ts
@@ -17,6 +17,13 @@
   snapshot(): Iterable<string>;
   /** Replaces the state by that of a snapshot. */
   restore(rows: readonly string[]): void;
+  /** A snapshot for another host; the same rows unless given. */
+  transfer?(): AsyncIterable<string>;
+  /**
+   * Syncs what the rows of a snapshot refer to; resolves with what is to be done once that
+   * snapshot is in place.
+   */
+  flush?(): Promise<() => Promise<void>>;
 }
 
 /** What a replicated log is built from; times in milliseconds. */
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -51,7 +51,8 @@
   }
 
   async start(): Promise<void> {
-    const { store, clock, random, machine, heartbeatMilliseconds = 100 } = this.#options;
+    const { store, clock, random, machine } = this.#options;
+    const { heartbeatMilliseconds = 100 } = this.#options;
     const stored = decodeStored(await store.load());
     this.#incarnation = stored.incarnation ?? random.hex(8);
     if (stored.incarnation === undefined) {
@@ -75,7 +76,13 @@
     const member = new RaftMember({ ...this.#options, ...stored, self: identity });
     return {
       member,
-      snapshots: new SnapshotExchange({ self: identity, send: this.#sendByTransport }),
+      snapshots: new SnapshotExchange({
+        self: identity,
+        send: this.#sendByTransport,
+        onFailure: (peer) => {
+          member.snapshotFailed(peer);
+        },
+      }),
       keeper: new MembershipKeeper({
         self,
         identity,
@@ -89,7 +96,7 @@
         incarnation: this.#incarnation,
         store,
         member,
-        rows: () => machine.snapshot(),
+        machine,
       }),
     };
   }
@@ -212,7 +219,7 @@
     else if (message.kind === 'append-answer' && message.success) {
       this.#started.snapshots.finish(message.from);
     } else if (message.kind === 'snapshot-answer') {
-      if (!this.#started.snapshots.onAnswer(message, now)) member.snapshotFailed(message.from);
+      this.#started.snapshots.onAnswer(message, now);
     }
   }
 
@@ -229,7 +236,7 @@
     { head, rows }: ReceivedSnapshot,
   ): Promise<void> {
     if (head.position.index <= member.commitIndex) {
-      this.#answerInstalled(part, member.commitIndex);
+      this.#sendByTransport(buildInstalledAnswer(part, this.identity, member.commitIndex));
       return;
     }
     this.#installing = true;
@@ -239,7 +246,7 @@
       member.install(head);
       this.#options.machine.restore(rows);
       this.#appliedIndex = head.position.index;
-      this.#answerInstalled(part, head.position.index);
+      this.#sendByTransport(buildInstalledAnswer(part, this.identity, head.position.index));
     } catch (error) {
       this.#fail(error);
     } finally {
@@ -247,10 +254,6 @@
     }
   }
 
-  #answerInstalled(part: SnapshotPart, matchIndex: number): void {
-    this.#options.transport.send(buildInstalledAnswer(part, this.identity, matchIndex));
-  }
-
   get #started(): Parts {
     if (this.#parts === undefined) throw new Error('The replicated log was not started');
     return this.#parts;
@@ -283,7 +286,8 @@
     const { machine, clock } = this.#options;
     const { term } = this.#member;
     const head = this.#member.headAt(this.#appliedIndex);
-    this.#started.snapshots.begin(peer, term, head, machine.snapshot(), clock.monotonic());
+    const rows = machine.transfer?.() ?? machine.snapshot();
+    this.#started.snapshots.begin(peer, term, head, rows, clock.monotonic());
   }
 
   #sync(output: RaftOutput, send: Send): Promise<void> {
--- a/src/replication/snapshot-exchange.ts
+++ b/src/replication/snapshot-exchange.ts
@@ -8,12 +8,16 @@
 export interface SnapshotExchangeOptions {
   readonly self: string;
   readonly send: (envelope: Envelope) => void;
+  /** Told of a peer whose snapshot came to nothing, so that another one is made. */
+  readonly onFailure: (peer: string) => void;
 }
 
 interface Outgoing {
   readonly sending: SnapshotSending;
   readonly term: number;
   sentAt: number;
+  /** A part is being read from disk. */
+  reading: boolean;
 }
 
 /** The snapshots that one member sends to peers and receives from its leader. */
@@ -27,10 +31,17 @@
   }
 
   /** Begins to send a snapshot, in place of one that is under way to the same peer. */
-  begin(peer: string, term: number, head: SnapshotHead, rows: Iterable<string>, now: number): void {
-    const outgoing = { sending: new SnapshotSending(head, rows), term, sentAt: now };
+  begin(
+    peer: string,
+    term: number,
+    head: SnapshotHead,
+    rows: Iterable<string> | AsyncIterable<string>,
+    now: number,
+  ): void {
+    const sending = new SnapshotSending(head, rows);
+    const outgoing = { sending, term, sentAt: now, reading: false };
     this.#outgoing.set(peer, outgoing);
-    this.#send(peer, outgoing, now);
+    void this.#sendNext(peer, outgoing, now);
   }
 
   /** Repeats parts that were lost, and drops what a member sent that leads no more. */
@@ -41,17 +52,13 @@
     }
   }
 
-  /** Sends the next part; returns false once the peer has lost what it had received. */
-  onAnswer(answer: SnapshotAnswer, now: number): boolean {
+  /** Sends the part that a peer asks for. */
+  onAnswer(answer: SnapshotAnswer, now: number): void {
     const outgoing = this.#outgoing.get(answer.from);
-    if (outgoing?.term !== answer.term) return true;
-    if (outgoing.sending.advance(answer)) {
-      this.#send(answer.from, outgoing, now);
-      return true;
-    }
-    const lost = answer.nextPart === 0;
-    if (lost) this.#outgoing.delete(answer.from);
-    return !lost;
+    if (outgoing?.term !== answer.term || outgoing.reading) return;
+    const progress = outgoing.sending.judge(answer);
+    if (progress === 'advanced') void this.#sendNext(answer.from, outgoing, now);
+    else if (progress === 'lost') this.#giveUp(answer.from);
   }
 
   /** Forgets what was under way to a peer that has the snapshot. */
@@ -77,7 +84,25 @@
     return undefined;
   }
 
+  async #sendNext(peer: string, outgoing: Outgoing, now: number): Promise<void> {
+    outgoing.reading = true;
+    try {
+      await outgoing.sending.advance();
+    } catch {
+      this.#giveUp(peer);
+      return;
+    }
+    outgoing.reading = false;
+    if (this.#outgoing.get(peer) === outgoing) this.#send(peer, outgoing, now);
+  }
+
+  #giveUp(peer: string): void {
+    this.#outgoing.delete(peer);
+    this.#options.onFailure(peer);
+  }
+
   #send(peer: string, outgoing: Outgoing, now: number): void {
+    if (outgoing.reading) return;
     outgoing.sentAt = now;
     const sender = { term: outgoing.term, from: this.#options.self };
     this.#options.send({ to: peer, message: outgoing.sending.build(sender, now) });
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -46,6 +46,8 @@
     'election-milliseconds': milliseconds.default(500),
     /** Applied changes of one group from which a snapshot takes their place. */
     'snapshot-entries': z.int().min(16).default(4096),
+    /** Histories and answers used lately that each group holds in memory. */
+    'history-cache-megabytes': z.int().nonnegative().default(16),
     /** How long an entry or sidecar counts as live after its last heartbeat. */
     'session-milliseconds': milliseconds.default(3000),
     /** How long an ended program's answers are kept for resends. */
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -21,12 +21,15 @@
   type ConfigurationChanges,
   ConfigurationStateMachine,
 } from './configuration-machine';
+export { contentsOf, fillBegin, fillComplete } from './contents';
 export { CONFIGURATION_GROUP, groupOfProgram, programIdOf } from './groups';
 export { resolveKind } from './kinds';
 export { type CommandResult, type CommandResults, ProgramStateMachine } from './machine';
 export {
   type AcceptOutcome,
+  type BeginDecision,
   type BeginOutcome,
+  type CompleteDecision,
   type CompleteOutcome,
   type Created,
   type Ended,
@@ -48,5 +51,6 @@
   answerSchema,
   orderSchema,
 } from './records';
+export type { SnapshotContents } from './snapshot';
 export { evaluateBegin, sequenceOf } from './steps';
 export type { Tables } from './tables';
--- a/src/state/machine.ts
+++ b/src/state/machine.ts
@@ -1,9 +1,9 @@
 import type { StateMachine } from '../replication';
 import { type Command, commandSchema } from './commands';
-import type { BeginOutcome, CompleteOutcome, Created, Ended, Refused } from './outcomes';
+import type { BeginDecision, CompleteDecision, Created, Ended, Refused } from './outcomes';
 import { createProgram, endProgram, forgetPrograms } from './programs';
 import { abandonStep, beginStep, completeStep, resolveStep } from './steps';
-import { restoreTables, snapshotTables } from './snapshot';
+import { type SnapshotContents, restoreTables, snapshotTables, transferTables } from './snapshot';
 import { Tables } from './tables';
 
 /** A command that has nothing to tell. */
@@ -16,8 +16,8 @@
 /** Result of each kind of command. */
 export interface CommandResults {
   readonly 'create-program': Created | Refused;
-  readonly 'begin-step': BeginOutcome;
-  readonly 'complete-step': CompleteOutcome;
+  readonly 'begin-step': BeginDecision;
+  readonly 'complete-step': CompleteDecision;
   readonly 'abandon-step': Done;
   readonly 'resolve-step': Done;
   readonly 'end-program': Ended | Refused;
@@ -29,12 +29,15 @@
 
 /** The state that the replicated log drives: equal logs give equal states. */
 export class ProgramStateMachine implements StateMachine<CommandResult> {
+  readonly #contents: SnapshotContents;
   readonly #onApplied: (command: Command) => void;
-  #tables = new Tables();
+  #tables: Tables;
 
   /** `onApplied` runs after each command, at every member. */
-  constructor(onApplied: (command: Command) => void = () => undefined) {
+  constructor(contents: SnapshotContents, onApplied: (command: Command) => void = () => undefined) {
+    this.#contents = contents;
     this.#onApplied = onApplied;
+    this.#tables = new Tables(contents);
   }
 
   get tables(): Tables {
@@ -42,12 +45,23 @@
   }
 
   snapshot(): Iterable<string> {
-    return snapshotTables(this.#tables);
+    return snapshotTables(this.#tables, this.#contents);
+  }
+
+  transfer(): AsyncIterable<string> {
+    return transferTables(this.#tables, this.#contents);
+  }
+
+  async flush(): Promise<() => Promise<void>> {
+    const unused = this.#contents.unusedFiles();
+    await this.#contents.flush();
+    return () => this.#contents.removeFiles(unused);
   }
 
   restore(rows: readonly string[]): void {
-    this.#tables = new Tables();
-    restoreTables(this.#tables, rows);
+    this.#contents.reset();
+    this.#tables = new Tables(this.#contents);
+    restoreTables(this.#tables, this.#contents, rows);
   }
 
   apply(text: string, index: number): CommandResult {
--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -88,6 +88,12 @@
 
 export type BeginOutcome = RunStep | ReplayStep | WaitStep | SettleStep | UnknownOutcome | Refused;
 
+/** A {@link BeginOutcome} as the state decides it: texts are named by handle. */
+export type BeginDecision =
+  | (Omit<RunStep, 'history'> & { readonly history: readonly number[] })
+  | { readonly outcome: 'replay'; readonly sequence: number; readonly content: number }
+  | Exclude<BeginOutcome, RunStep | ReplayStep>;
+
 /** The answer is stored. */
 export interface Recorded {
   readonly outcome: 'recorded';
@@ -101,6 +107,10 @@
 
 export type CompleteOutcome = Recorded | Superseded;
 
+/** A {@link CompleteOutcome} as the state decides it. */
+export type CompleteDecision =
+  Recorded | { readonly outcome: 'superseded'; readonly content: number | undefined };
+
 export interface Accepted {
   readonly outcome: 'accepted';
   readonly number: number;
@@ -137,7 +147,7 @@
     endReason,
     steps: program.steps.size,
     nextSequence,
-    messageCount: program.messages.length,
+    messageCount: program.messageCount,
     contextTokens,
     spending,
   };
--- a/src/state/programs.ts
+++ b/src/state/programs.ts
@@ -39,7 +39,7 @@
     lastActivityAt: at,
     endReason: undefined,
     endedAt: undefined,
-    messages: [],
+    messageCount: 0,
     digest: '',
     contextTokens: 0,
     steps: new Map(),
@@ -102,7 +102,7 @@
     endReason: reason,
     endedAt: applied.at,
     steps,
-    messages: [],
+    messageCount: 0,
     digest: '',
     holders: [],
   });
@@ -157,7 +157,14 @@
 export function forgetPrograms(tables: Tables, ids: readonly string[]): void {
   const ended = new Set(ids.filter((id) => tables.programs.get(id)?.endReason !== undefined));
   for (const [id, program] of tables.programs) {
-    if (ended.has(id) || ended.has(program.root)) tables.programs.delete(id);
+    if (ended.has(id) || ended.has(program.root)) forgetOne(tables, program);
   }
   for (const id of ended) tables.spending.delete(id);
 }
+
+function forgetOne(tables: Tables, program: Program): void {
+  tables.programs.delete(program.id);
+  for (const step of program.steps.values()) {
+    if (step.state === 'done') tables.contents.drop(step.content);
+  }
+}
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -65,7 +65,8 @@
 /** A step whose answer is known. */
 export interface DoneStep extends StepBase {
   readonly state: 'done';
-  readonly answer: Answer;
+  /** Handle of the content that holds the answer, and the messages that the step added. */
+  readonly content: number;
 }
 
 /** A step that may not be repeated and of which nobody can tell whether it ran. */
@@ -104,8 +105,9 @@
   readonly lastActivityAt: number;
   readonly endReason: EndReason | undefined;
   readonly endedAt: number | undefined;
-  readonly messages: readonly Message[];
-  /** Digest of the whole list of messages; empty before the first. */
+  /** Length of the history, whose messages are in the contents of the done steps. */
+  readonly messageCount: number;
+  /** Digest of the whole history; empty before the first message. */
   readonly digest: string;
   /** Tokens of the history at the last answer. */
   readonly contextTokens: number;
--- a/src/state/steps.ts
+++ b/src/state/steps.ts
@@ -1,9 +1,10 @@
 import { digestPrefixes } from '../core';
+import { encodeStepContent } from './contents';
 import { reserve, settle } from './budgets';
 import type { AbandonStep, BeginStep, Command, CompleteStep, ResolveStep } from './commands';
-import { type BeginOutcome, type CompleteOutcome, type RunStep, refuse } from './outcomes';
+import { type BeginDecision, type CompleteDecision, refuse } from './outcomes';
 import { type Applied, createProgram, endOne, noteHolders } from './programs';
-import type { Program, RunningStep, Spending, Step } from './records';
+import type { Answer, Program, RunningStep, Spending, Step } from './records';
 import type { Tables } from './tables';
 
 /**
@@ -14,7 +15,7 @@
   tables: Tables,
   input: BeginStep,
   displaces: string | undefined,
-): BeginOutcome {
+): BeginDecision {
   const program = tables.programs.get(input.program);
   if (program?.team !== input.team) {
     return refuse('unknown-program', `no program "${input.program}"`);
@@ -37,7 +38,7 @@
   step: Step,
   input: BeginStep,
   displaces: string | undefined,
-): BeginOutcome {
+): BeginDecision {
   const named =
     input.sequence !== undefined || (input.key !== undefined && program.keys.has(input.key));
   if (named && step.requestDigest !== input.requestDigest) {
@@ -46,7 +47,7 @@
   }
   if (step.state === 'unknown') return { outcome: 'unknown' };
   if (step.state === 'done') {
-    return { outcome: 'replay', sequence: step.sequence, answer: step.answer };
+    return { outcome: 'replay', sequence: step.sequence, content: step.content };
   }
   if (step.attempt === input.attempt) return describeRun(program, step.sequence, input);
   if (displaces !== step.attempt) return { outcome: 'wait', reason: 'step-running' };
@@ -61,7 +62,7 @@
   program: Program,
   sequence: number,
   input: BeginStep,
-): BeginOutcome {
+): BeginDecision {
   if (program.endReason !== undefined) {
     return refuse('program-ended', `program "${program.id}" ended: ${program.endReason}`);
   }
@@ -81,9 +82,9 @@
   program: Program,
   sequence: number,
   input: BeginStep,
-): BeginOutcome {
+): BeginDecision {
   if (!extendsHistory(program, input)) {
-    const message = `the list does not extend the ${program.messages.length} stored messages`;
+    const message = `the list does not extend the ${program.messageCount} stored messages`;
     return refuse('history-mismatch', message);
   }
   if (reserve(spending, reservationOf(program, input)) === undefined) {
@@ -103,17 +104,17 @@
 
 function extendsHistory(program: Program, input: BeginStep): boolean {
   if (input.history.kind !== 'whole') return true;
-  const stored = program.messages.length;
+  const stored = program.messageCount;
   if (stored === 0) return true;
   return input.history.digests[stored - 1] === program.digest;
 }
 
-function describeRun(program: Program, sequence: number, input: BeginStep): RunStep {
+function describeRun(program: Program, sequence: number, input: BeginStep): BeginDecision {
   return {
     outcome: 'run',
     sequence,
-    historyCount: program.messages.length,
-    history: input.history.kind === 'append' ? program.messages : [],
+    historyCount: program.messageCount,
+    history: input.history.kind === 'append' ? historyContents(program) : [],
     contextTokens: program.contextTokens,
     lastTarget: program.lastTarget,
     programDeadlineAt: program.deadlineAt,
@@ -124,7 +125,7 @@
 export function beginStep(
   tables: Tables,
   { input, displaces, kindInForce, at }: Extract<Command, { kind: 'begin-step' }>,
-): BeginOutcome {
+): BeginDecision {
   if (input.create !== undefined && kindInForce !== undefined) {
     const created = createProgram(tables, input.create, kindInForce, at);
     if (created.outcome === 'refused') return created;
@@ -166,13 +167,13 @@
   tables: Tables,
   input: CompleteStep,
   applied: Applied,
-): CompleteOutcome {
+): CompleteDecision {
   const program = tables.programs.get(input.program);
   const step = program?.steps.get(input.sequence);
   if (step?.state === 'done' && step.attempt === input.attempt) return { outcome: 'recorded' };
   if (program === undefined || step?.state !== 'running' || step.attempt !== input.attempt) {
     if (input.usage !== undefined) noteHolders(tables, input.program, [input.target], applied);
-    return { outcome: 'superseded', answer: step?.state === 'done' ? step.answer : undefined };
+    return { outcome: 'superseded', content: step?.state === 'done' ? step.content : undefined };
   }
   const used = usedTokens(input);
   const spending = settle(tables.spendingOf(program), step.reservedTokens, used, 1);
@@ -181,7 +182,7 @@
   const updated: Program = {
     ...program,
     lastActivityAt: applied.at,
-    messages: [...program.messages, ...input.messages],
+    messageCount: program.messageCount + input.messages.length,
     digest: digestPrefixes(input.messages, program.digest).at(-1) ?? program.digest,
     contextTokens: engineTurn ? used : program.contextTokens,
     nextSequence: Math.max(program.nextSequence, input.sequence + 1),
@@ -193,7 +194,7 @@
     sequence,
     requestDigest,
     attempt,
-    answer: input.answer,
+    content: tables.contents.put(encodeStepContent(input.messages, input.answer)),
   });
   if (engineTurn) noteHolders(tables, program.id, [input.target], applied);
   if (input.end) endOne(tables, existingProgram(tables, program.id), 'completed', applied);
@@ -236,12 +237,23 @@
   const base = { sequence, requestDigest, attempt };
   const finding: Step =
     input.finding.kind === 'answered'
-      ? { ...base, state: 'done', answer: input.finding.answer }
+      ? { ...base, state: 'done', content: putAnswer(tables, input.finding.answer) }
       : { ...base, state: 'unknown' };
   const nextSequence = Math.max(program.nextSequence, sequence + 1);
   putStep(tables, { ...program, lastActivityAt: applied.at, nextSequence }, finding);
 }
 
+function putAnswer(tables: Tables, answer: Answer): number {
+  return tables.contents.put(encodeStepContent([], answer));
+}
+
+/** Contents of the done steps, whose messages make up the history in this order. */
+function historyContents(program: Program): readonly number[] {
+  return [...program.steps.values()]
+    .sort((left, right) => left.sequence - right.sequence)
+    .flatMap((step) => (step.state === 'done' ? [step.content] : []));
+}
+
 function putStep(tables: Tables, program: Program, step: Step): void {
   const steps = new Map(program.steps);
   steps.set(step.sequence, step);
--- a/src/state/tables.ts
+++ b/src/state/tables.ts
@@ -1,3 +1,4 @@
+import type { Contents } from './contents';
 import type { Order, Program, Spending } from './records';
 
 /**
@@ -5,6 +6,7 @@
  * writes to the maps, and only while it applies a command.
  */
 export class Tables {
+  readonly contents: Contents;
   readonly programs = new Map<string, Program>();
   /** By root program. */
   readonly spending = new Map<string, Spending>();
@@ -12,6 +14,10 @@
   readonly children = new Map<string, ReadonlySet<string>>();
   readonly orders = new Map<string, Order>();
 
+  constructor(contents: Contents) {
+    this.contents = contents;
+  }
+
   /** Replaces one program. */
   put(program: Program): void {
     this.programs.set(program.id, program);
--- a/src/state/tests/fixture.ts
+++ b/src/state/tests/fixture.ts
@@ -2,7 +2,16 @@
 import { digestPrefixes } from '../../core';
 import { localFiles } from '../../local/configuration';
 import type { BeginStep, Command, CommandResults } from '..';
-import { ProgramStateMachine, resolveKind } from '..';
+import {
+  type BeginDecision,
+  type CompleteDecision,
+  ProgramStateMachine,
+  contentsOf,
+  fillBegin,
+  fillComplete,
+  resolveKind,
+} from '..';
+import { MemoryContents } from './memory-contents';
 
 const sidecar = { host: '127.0.0.1', port: 7000 };
 const target = { name: 'engine-a', availabilityZone: 'zone-a', sidecar, address: sidecar };
@@ -21,7 +30,8 @@
 
 /** Drives a state machine as the replicated log does. */
 export class StateFixture {
-  readonly machine = new ProgramStateMachine();
+  readonly contents = new MemoryContents();
+  readonly machine = new ProgramStateMachine(this.contents);
   readonly #configuration: Configuration;
   #index = 0;
   #attempts = 0;
@@ -68,13 +78,14 @@
 
   begin(input: BeginStep, displaces?: string) {
     const command = { kind: 'begin-step', at: this.now, input } as const;
-    return this.apply(displaces === undefined ? command : { ...command, displaces });
+    const decision = this.apply(displaces === undefined ? command : { ...command, displaces });
+    return fillBegin(decision, this.#textsOf(decision));
   }
 
   complete(step: BeginStep, text: string, used = { prompt: 50, completion: 10 }) {
     const question = { role: 'user', content: `${text}?` };
     const message = { role: 'assistant', content: text };
-    return this.apply({
+    const decision = this.apply({
       kind: 'complete-step',
       at: this.now,
       input: {
@@ -96,6 +107,7 @@
         end: false,
       },
     });
+    return fillComplete(decision, this.#textsOf(decision));
   }
 
   abandon(step: BeginStep, holders: readonly string[]) {
@@ -104,6 +116,16 @@
     return this.apply({ kind: 'abandon-step', at: this.now, input });
   }
 
+  /** The whole history of a program, as an entry would be given it. */
+  history(program: string, sequence: number) {
+    const outcome = this.begin(this.step(program, sequence));
+    return outcome.outcome === 'run' ? outcome.history : [];
+  }
+
+  #textsOf(decision: BeginDecision | CompleteDecision): readonly string[] {
+    return contentsOf(decision).map((handle) => this.contents.read(handle));
+  }
+
   /** Digests of a message list, as an entry sends them. */
   static whole(...contents: readonly (readonly [string, string])[]): BeginStep['history'] {
     const messages = contents.map(([role, content]) => ({ role, content }));
--- a/src/state/tests/steps.test.ts
+++ b/src/state/tests/steps.test.ts
@@ -98,8 +98,8 @@
         outcome: 'superseded',
         answer: { message: { content: 'right' } },
       });
-      const { messages } = state.machine.tables.programs.get('p-1') ?? { messages: [] };
-      expect(messages.map((message) => message['content'])).toEqual(['right?', 'right']);
+      const contents = state.history('p-1', 2).map((message) => message['content']);
+      expect(contents).toEqual(['right?', 'right']);
     });
 
     it('count the whole reservation of the dead attempt as spent', () => {
--- a/src/storage/file-system.ts
+++ b/src/storage/file-system.ts
@@ -15,6 +15,8 @@
   ensureFolder(folder: string): Promise<void>;
   list(folder: string): Promise<readonly string[]>;
   read(file: string): Promise<Buffer>;
+  /** Reads a part of a file; shorter where the file ends. */
+  readAt(file: string, offset: number, length: number): Promise<Buffer>;
   /** Makes an empty file; its name lasts once the folder is synced. */
   create(file: string): Promise<AppendFile>;
   /** Opens a file for appending after cutting it to `length` bytes. */
@@ -43,6 +45,16 @@
     return readFile(file);
   }
 
+  async readAt(file: string, offset: number, length: number): Promise<Buffer> {
+    const handle = await open(file, 'r');
+    try {
+      const { buffer, bytesRead } = await handle.read(Buffer.alloc(length), 0, length, offset);
+      return buffer.subarray(0, bytesRead);
+    } finally {
+      await handle.close();
+    }
+  }
+
   async create(file: string): Promise<AppendFile> {
     return new NodeAppendFile(await open(file, 'w'));
   }
--- a/src/storage/frame.ts
+++ b/src/storage/frame.ts
@@ -26,6 +26,13 @@
   return Buffer.concat([header, payload]);
 }
 
+/** Reads bytes that are to be one whole frame; nothing if they are not. */
+export function decodeOnlyFrame(bytes: Buffer): readonly string[] | undefined {
+  const frame = decodeFrame(bytes, 0);
+  if (frame?.end !== bytes.length) return undefined;
+  return frame.payload.toString().split('\n');
+}
+
 /** What a file holds. */
 export interface FileReading {
   readonly records: readonly string[];
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -1,5 +1,11 @@
+export {
+  type ContentPlace,
+  ContentStore,
+  type ContentStoreOptions,
+  contentPlaceSchema,
+} from './content-store';
 export { StorageError } from './errors';
 export { type AppendFile, type FileSystem, NodeFileSystem } from './file-system';
 export { QuarantiningStore, type QuarantiningStoreOptions } from './quarantining-store';
 export type { Compaction, RecordStore, StoredRecords } from './record-store';
-export { SegmentedStore, type SegmentedStoreOptions } from './segmented-store';
+export { SegmentedStore, type SegmentedStoreOptions, markDamaged } from './segmented-store';
--- a/src/storage/segmented-store.ts
+++ b/src/storage/segmented-store.ts
@@ -22,6 +22,9 @@
 
 const SNAPSHOT = 'snapshot';
 const UNFINISHED_SNAPSHOT = 'snapshot.unfinished';
+
+/** Stands in a folder whose records are whole but of no use, since what they refer to is not. */
+const DAMAGE_MARK = 'damaged';
 const SEGMENT_NAME = /^segment-(\d{10})$/;
 
 /** First row of a snapshot file. */
@@ -73,6 +76,10 @@
       await this.#files.ensureFolder(this.#folder);
       await this.#files.remove(this.#path(UNFINISHED_SNAPSHOT));
       const names = await this.#files.list(this.#folder);
+      if (names.includes(DAMAGE_MARK)) {
+        const message = `was found to be damaged before; ${MEND}`;
+        throw StorageError.at(this.#path(DAMAGE_MARK), 'damaged', message);
+      }
       const snapshot = names.includes(SNAPSHOT) ? await this.#readSnapshot() : undefined;
       const records = await this.#readSegments(names, snapshot?.firstSegment ?? 1);
       return { snapshot: snapshot?.rows, records };
@@ -273,6 +280,17 @@
   }
 }
 
+/** Marks a store's folder as damaged, so that the next load refuses it. */
+export async function markDamaged(
+  folder: string,
+  fileSystem: FileSystem = new NodeFileSystem(),
+): Promise<void> {
+  const file = await fileSystem.create(join(folder, DAMAGE_MARK));
+  await file.sync();
+  await file.close();
+  await fileSystem.syncFolder(folder);
+}
+
 function segmentName(number: number): string {
   return `segment-${String(number).padStart(10, '0')}`;
 }
--- a/src/storage/tests/disk.ts
+++ b/src/storage/tests/disk.ts
@@ -50,6 +50,8 @@
       ensureFolder: () => Promise.resolve(),
       list: (folder) => act(() => this.#list(folder)),
       read: (file) => act(() => Buffer.from(this.#content(file).bytes)),
+      readAt: (file, offset, length) =>
+        act(() => Buffer.from(this.#content(file).bytes.subarray(offset, offset + length))),
       create: (file) => act(() => open(this.#create(file)), true),
       openAt: (file, length) => act(() => open(this.#cut(file, length))),
       rename: (from, to) =>
@@ -97,6 +99,12 @@
     this.#files = new Map(this.#lasting);
   }
 
+  /** Changes one bit of a file. */
+  flip(file: string, offset: number): void {
+    const { bytes } = this.#content(file);
+    bytes.writeUInt8(bytes.readUInt8(offset) ^ 1, offset);
+  }
+
   #list(folder: string): readonly string[] {
     const paths = [...this.#files.keys()].filter((path) => dirname(path) === folder);
     return paths.map((path) => basename(path));
--- a/tests/disk-failures.test.ts
+++ b/tests/disk-failures.test.ts
@@ -11,7 +11,11 @@
   let program: string;
 
   beforeEach(async () => {
-    system = await SeparateSystem.start({ engineSettings: INSTANT_ENGINE, entries: 1 });
+    system = await SeparateSystem.start({
+      engineSettings: INSTANT_ENGINE,
+      entries: 1,
+      controlSettings: { 'history-cache-megabytes': 0 },
+    });
     caller = new Caller(system.entryUrls[0] ?? '');
     program = await caller.createProgram();
     expect(await caller.turn(program, 1, 'One.')).toMatchObject({ status: 200 });
@@ -21,6 +25,12 @@
     await system.stop();
   });
 
+  async function flip(file: string, offset: number): Promise<void> {
+    const bytes = await readFile(file);
+    bytes.writeUInt8(bytes.readUInt8(offset) ^ 1, offset);
+    await writeFile(file, bytes);
+  }
+
   function folderOf(name: string): string {
     const index = system.layout.controlMembers.findIndex((member) => member.name === name);
     return system.layout.dataFolders[index] ?? '';
@@ -65,9 +75,7 @@
         log,
         (await readdir(log)).find((file) => file.startsWith('segment')) ?? '',
       );
-      const bytes = await readFile(segment);
-      bytes.writeUInt8(bytes.readUInt8(30) ^ 1, 30);
-      await writeFile(segment, bytes);
+      await flip(segment, 30);
       await restartUntilVoter(name);
       const told = await system
         .child(name)
@@ -80,4 +88,21 @@
       await system.restart(leader);
     });
   });
+
+  describe('a history with flipped bits', () => {
+    it('ends its host, whose place another takes, and is filled again by the others', async () => {
+      const { leader, group } = await system.groupOf(program);
+      const folder = join(folderOf(leader), 'contents', group);
+      const [file = ''] = await readdir(folder);
+      await flip(join(folder, file), 60);
+      const lost = system.child(leader);
+      const answer = await caller.turn(program, 2, 'Two.');
+      expect(answer).toMatchObject({ status: 200 });
+      expect(await lost.exited).toBe(1);
+      expect(lost.lines.map((line) => line['event'])).toContain('storage-damaged');
+      expect(await caller.program(program)).toMatchObject({ message_count: 4 });
+      await restartUntilVoter(leader);
+      expect(await readdir(folderOf(leader))).toContain(`${group}.damaged-1`);
+    });
+  });
 });
