A leader is replaced sooner; orders only at a term that a quorum knows; bench of the replicated state

Followers waited one to two election times, and a failed election waited as long again. Ruled out: a shorter election time (the read lease and the tolerance of slow disks hang on it); the client's pause of 25 ms between tries. Now one to one and a half election times, and a failed election is tried again after 0.2 to 0.7. Also: a sidecar that was restarted knew no term and took the first order it got, also a replaced leader's. It now asks a majority of the control hosts for the term before its first order, and carries none out as long as a majority does not answer.

--- /dev/null
+++ b/bench/control.ts
@@ -0,0 +1,33 @@
+import { benchAppend } from './append';
+import { benchFailover } from './failover';
+import { benchFanOut } from './fan-out';
+import { printLine } from './figures';
+import { benchGroups } from './groups';
+import { benchRestart } from './restart';
+
+export interface ControlBenchOptions {
+  readonly calls: number;
+  readonly kills: number;
+  readonly nodes: readonly number[];
+  readonly groups: readonly number[];
+  readonly programs: readonly number[];
+  /** Only the parts whose names contain it. */
+  readonly part: string;
+}
+
+const CHANGES = 10;
+
+/** What the replicated state costs; one JSON line a part. */
+export async function benchControl(options: ControlBenchOptions): Promise<void> {
+  const { calls, kills, nodes, groups, programs } = options;
+  const parts: readonly (readonly [string, () => Promise<object>])[] = [
+    ['append', () => benchAppend(calls)],
+    ['groups', () => benchGroups(groups)],
+    ['failover', () => benchFailover(kills)],
+    ['fan-out', () => benchFanOut(nodes, CHANGES)],
+    ['restart', () => benchRestart(programs)],
+  ];
+  for (const [part, run] of parts) {
+    if (part.includes(options.part)) printLine({ bench: 'control', part, ...(await run()) });
+  }
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander';
+import { type ControlBenchOptions, benchControl } from './control';
 import { benchFootprint } from './footprint';
 import { benchLink } from './link';
 import { benchNodes } from './nodes';
@@ -41,4 +42,16 @@
   .action(async (options: { readonly sizes: readonly number[] }) => {
     await benchNodes(options.sizes);
   });
+program
+  .command('control')
+  .description('appends, groups, a lost leader, configuration at many processes, restarts')
+  .option('--calls <number>', 'appends of each kind', Number, DEFAULT_CALLS)
+  .option('--kills <number>', 'leaders killed', Number, 20)
+  .option('--nodes <numbers>', 'processes that get a configuration', parseNumbers, [10, 100, 1000])
+  .option('--groups <numbers>', 'groups of programs', parseNumbers, [1, 4, 16])
+  .option('--programs <numbers>', 'programs of 350,000 tokens', parseNumbers, [100, 300, 1000])
+  .option('--part <text>', 'only parts whose names contain it', '')
+  .action(async (options: ControlBenchOptions) => {
+    await benchControl(options);
+  });
 void program.parseAsync();
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -9,6 +9,7 @@
   GroupSummary,
   Heartbeat,
   InForce,
+  KnownTerm,
   NotLeader,
   Noted,
   OrderOffer,
@@ -115,6 +116,10 @@
     return this.#options.programs.get(group)?.summary() ?? UNKNOWN_LEADER;
   }
 
+  knownTerm(): KnownTerm {
+    return { outcome: 'term', term: this.#options.log.term };
+  }
+
   heartbeat(input: Heartbeat): Noted | NotLeader {
     if (!this.#serves) return this.#notLeader;
     const { registry, clock, notifier } = this.#options;
--- a/src/protocol/control-client.ts
+++ b/src/protocol/control-client.ts
@@ -91,6 +91,24 @@
     return this.#members.find((member) => member.name === name)?.connection;
   }
 
+  /**
+   * Asks every member, and resolves with the answers of a majority.
+   *
+   * @throws {@link ControlUnavailableError} when a majority did not answer in time
+   */
+  async askMajority<T>(
+    operate: (connection: ControlConnection, signal: AbortSignal) => Promise<T>,
+  ): Promise<readonly T[]> {
+    const needed = Math.floor(this.#members.length / 2) + 1;
+    const limit = this.#attemptMilliseconds;
+    const asked = this.#members.map((member) => this.#attempt(member, operate, limit));
+    const settled = await Promise.allSettled(asked);
+    const answers = settled.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []));
+    if (answers.length >= needed) return answers;
+    const message = `${answers.length} of ${this.#members.length} control hosts answered`;
+    throw new ControlUnavailableError(message, false);
+  }
+
   /**
    * Runs an operation at the leader of a group.
    *
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -20,6 +20,7 @@
   FoundProgram,
   GroupEnvelopes,
   InForce,
+  KnownTerm,
   OrderOffer,
 } from './router';
 export type {
--- a/src/protocol/router.ts
+++ b/src/protocol/router.ts
@@ -73,6 +73,12 @@
   readonly answers: readonly GroupEnvelopes[];
 }
 
+/** Highest term of the configuration's group that a control host knows, whether it leads or not. */
+export interface KnownTerm {
+  readonly outcome: 'term';
+  readonly term: number;
+}
+
 /** Whether an entry process has surely ended, as far as the leader of the configuration knows. */
 export interface EntryLife {
   readonly outcome: 'entry-life';
@@ -103,6 +109,7 @@
   offerOrders(offer: OrderOffer): Noted | NotLeader;
   settleOrders(group: string, orders: readonly string[]): Promise<Noted | NotLeader>;
   summary(group: string): GroupSummary | NotLeader;
+  knownTerm(): KnownTerm;
   applyConfiguration(input: AcceptConfiguration): Promise<AcceptOutcome | NotLeader>;
   configurationInForce(): InForce | NotLeader;
   status(): Promise<Status | NotLeader>;
@@ -172,6 +179,7 @@
       settleOrders: process
         .input(z.object({ group: z.string(), orders: z.array(z.string()) }))
         .mutation(({ input }) => api.settleOrders(input.group, input.orders)),
+      knownTerm: process.query(() => api.knownTerm()),
       summary: process
         .input(z.object({ group: z.string() }))
         .query(({ input }) => api.summary(input.group)),
--- a/src/replication/raft.ts
+++ b/src/replication/raft.ts
@@ -42,6 +42,12 @@
 
 const ENTRIES_PER_MESSAGE = 256;
 
+/** Random part of the wait before an election, as a share of the election time. */
+const ELECTION_SPREAD = 0.5;
+
+/** Shortest wait before an election is tried again, as a share of the election time. */
+const RETRY_SHARE = 0.2;
+
 /** Silence of all leaders, in election times, after which a member may have been removed. */
 const LEADERLESS_ELECTION_TIMES = 3;
 
@@ -487,7 +493,7 @@
   }
 
   #campaign(now: number, preVote: boolean, transfer: boolean): void {
-    this.#resetElection(now);
+    this.#resetRetry(now);
     this.#leader = undefined;
     this.#votes.clear();
     this.#votes.add(this.#self);
@@ -608,6 +614,12 @@
   }
 
   #resetElection(now: number): void {
-    this.#electionDue = now + this.#election * (1 + this.#random.fraction());
+    this.#electionDue = now + this.#election * (1 + ELECTION_SPREAD * this.#random.fraction());
+  }
+
+  /** An election that failed because two members stood at once is tried again soon. */
+  #resetRetry(now: number): void {
+    const share = RETRY_SHARE + ELECTION_SPREAD * this.#random.fraction();
+    this.#electionDue = now + this.#election * share;
   }
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -42,7 +42,7 @@
     /** Secret that operators' command lines show. */
     'operator-credential': z.string().min(16),
     'heartbeat-milliseconds': milliseconds.default(100),
-    /** Shortest silence after which a member stands for election; the longest is twice that. */
+    /** Shortest silence after which a member stands for election; the longest is half as much again. */
     'election-milliseconds': milliseconds.default(500),
     /** Applied changes of one group from which a snapshot takes their place. */
     'snapshot-entries': z.int().min(16).default(4096),
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -59,6 +59,12 @@
   const orders = new OrderRunner({
     client: targetClient,
     logger,
+    learnTerm: async () => {
+      const answers = await control.askMajority((connection, signal) =>
+        connection.groups.knownTerm.query(undefined, { signal }),
+      );
+      return Math.max(...answers.map((answer) => answer.term));
+    },
     confirm: async (done) => {
       await control.call((connection, signal) =>
         connection.nodes.confirmOrders.mutate({ orders: [...done] }, { signal }),
