The platform's list of hosts as a hint; regions that go on without another one

Cause: nobody read the platform's list, so a target whose host was to leave got new calls until its sidecar was told; and no test had more than one region. Now the leader of the configuration reads the list each second (settings section platform). A target listed as leaving gets no new calls, whatever its sidecar says, until it is listed as live again; a host that vanishes from the list, or a list that can't be read, changes nothing. Ruled out: taking a host that is no longer listed for dead (the list lags, and is no proof).

--- a/scripts/separate/layout.ts
+++ b/scripts/separate/layout.ts
@@ -13,6 +13,10 @@
   readonly plain?: number;
   /** Groups that programs are spread over; the settings' default unless given. */
   readonly programGroups?: number;
+  /** Regions of the control hosts, in turn; all in one unless given. */
+  readonly regions?: readonly string[];
+  /** Where the control hosts read the platform's list of hosts. */
+  readonly hostList?: string;
   /** Further keys of the stand-in engines' settings. */
   readonly engineSettings?: Readonly<Record<string, number | string | boolean>>;
   /** Further keys of the stand-in services' settings. */
@@ -139,7 +143,11 @@
   }
 
   operator(): Promise<string> {
-    const operator = { control: this.#controlList, credential: OPERATOR_CREDENTIAL };
+    const control = this.#places.controlMembers.map(({ name, address }) => ({
+      name,
+      address: formatAddress(address),
+    }));
+    const operator = { control, credential: OPERATOR_CREDENTIAL };
     return this.#write('operator', { operator });
   }
 
@@ -155,6 +163,7 @@
   }
 
   controls(): Promise<readonly ProcessPlan[]> {
+    const { hostList } = this.#options;
     const plans = this.#places.controlMembers.map(({ name, address }, index) =>
       this.#plan(name, 'martenbay-control', {
         host: describeHost(name, zoneOf(index), address),
@@ -164,6 +173,7 @@
           'operator-credential': OPERATOR_CREDENTIAL,
           ...this.#options.controlSettings,
         },
+        ...(hostList === undefined ? {} : { platform: { 'host-list': hostList } }),
       }),
     );
     return Promise.all(plans);
@@ -196,9 +206,11 @@
   }
 
   get #controlList(): readonly Content[] {
-    return this.#places.controlMembers.map(({ name, address }) => ({
+    const { regions = [] } = this.#options;
+    return this.#places.controlMembers.map(({ name, address }, index) => ({
       name,
       address: formatAddress(address),
+      ...(regions.length === 0 ? {} : { region: regions[index % regions.length] }),
     }));
   }
 
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -75,6 +75,8 @@
   'availability-zone': name,
   /** Address of the sidecar beside the target. */
   address: addressSchema,
+  /** Its host in the platform's list; the target's own name unless given. */
+  host: name.optional(),
 });
 
 const poolSchema = z.strictObject({
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -13,6 +13,7 @@
 import type { ContentStore, RecordStore } from '../storage';
 import { announce } from './announce';
 import { type GroupParts, type ProgramGroupMember, createContents, createGroupLog } from './group';
+import { HostListReader } from './host-list';
 import { EntryLiveness } from './liveness';
 import { CHANGE_KEYS, Notifier } from './notifier';
 import { OfferedOrders } from './offered-orders';
@@ -117,6 +118,7 @@
     lifeCycle.add(CONFIGURATION_GROUP, this.#configurationLog);
     lifeCycle.add('target-sweep', this.#createTargetSweep());
     for (const group of this.#groups) this.#addGroup(lifeCycle, group);
+    this.#addHostList(lifeCycle);
     this.#registerGauges();
   }
 
@@ -134,6 +136,31 @@
     );
   }
 
+  #addHostList(lifeCycle: LifeCycle): void {
+    const { settings, clock, logger } = this.#options;
+    if (settings.platform === undefined) return;
+    const reader = new HostListReader({
+      address: settings.platform['host-list'],
+      milliseconds: settings.platform['host-list-milliseconds'],
+      clock,
+      logger,
+      reads: () => this.#configurationLog.serves,
+      onHosts: (leaving, live) => {
+        const changed = this.#registry.hint(this.#targetsOn(leaving), this.#targetsOn(live));
+        if (changed) this.#notifier.notify(CHANGE_KEYS.directory);
+      },
+    });
+    lifeCycle.add('host-list', reader);
+  }
+
+  #targetsOn(hosts: readonly string[]): readonly string[] {
+    const pools = this.#configuration.accepted?.configuration.pools ?? [];
+    return pools
+      .flatMap((pool) => pool.targets)
+      .filter((target) => hosts.includes(target.host ?? target.name))
+      .map((target) => target.name);
+  }
+
   #createConfigurationLog(): ReplicatedLog<AcceptOutcome> {
     const { settings, clock } = this.#options;
     let leading = false;
--- a/src/control/registry.ts
+++ b/src/control/registry.ts
@@ -24,6 +24,8 @@
   readonly #targets = new Map<string, VersionedTarget>();
   /** Key of the session that last spoke for a target. */
   readonly #speakers = new Map<string, string>();
+  /** Targets whose hosts the platform lists as leaving. */
+  readonly #leaving = new Set<string>();
   #version = 0;
   #leaderSince = 0;
 
@@ -36,6 +38,7 @@
     this.#sessions.clear();
     this.#targets.clear();
     this.#speakers.clear();
+    this.#leaving.clear();
     this.#version = 0;
     this.#leaderSince = now;
   }
@@ -52,12 +55,31 @@
     this.#speakers.set(heartbeat.target, key);
     return this.#putTarget({
       target: heartbeat.target,
-      state: heartbeat.state,
+      state: this.#leaving.has(heartbeat.target) ? 'leaving' : heartbeat.state,
       incarnation: heartbeat.incarnation,
       load: heartbeat.load ?? NO_LOAD,
     });
   }
 
+  /**
+   * Takes what the platform's list says: a target that leaves gets no new calls, also while its
+   * sidecar does not know yet, until the list shows it live again. Returns whether anything changed.
+   */
+  hint(leaving: readonly string[], live: readonly string[]): boolean {
+    for (const target of live) this.#leaving.delete(target);
+    for (const target of leaving) this.#leaving.add(target);
+    const changed = [...leaving, ...live].map((target) => this.#applyHint(target));
+    return changed.includes(true);
+  }
+
+  #applyHint(target: string): boolean {
+    const record = this.#targets.get(target)?.record;
+    if (record === undefined || record.state === 'lost') return false;
+    const told = this.#sessions.get(this.#speakers.get(target) ?? '')?.heartbeat.state;
+    const state = this.#leaving.has(target) ? 'leaving' : (told ?? record.state);
+    return this.#putTarget({ ...record, state });
+  }
+
   /** Whether every live process has had the time to be heard since this member took the lead. */
   isComplete(now: number): boolean {
     return this.#graceOver(now);
--- a/src/control/tests/registry.test.ts
+++ b/src/control/tests/registry.test.ts
@@ -66,4 +66,31 @@
       expect(registry.entryIsDead('entry-9/z', SESSION + 1)).toBe(true);
     });
   });
+
+  describe("with hints from the platform's list", () => {
+    function stateOf(target: string) {
+      return registry.targetsSince(0).find((record) => record.target === target)?.state;
+    }
+
+    it('takes a target out while its sidecar still serves, and back once it is live again', () => {
+      registry.hear(sidecar(), 10);
+      expect(registry.hint(['engine-a'], [])).toBe(true);
+      expect(stateOf('engine-a')).toBe('leaving');
+      registry.hear(sidecar(), 20);
+      expect(registry.hint(['engine-a'], [])).toBe(false);
+      expect(stateOf('engine-a')).toBe('leaving');
+      expect(registry.hint([], ['engine-a'])).toBe(true);
+      expect(stateOf('engine-a')).toBe('serving');
+    });
+
+    it('keeps a target out that vanishes from the list, and proves no life by it', () => {
+      registry.hear(sidecar(), 10);
+      registry.hint(['engine-a'], []);
+      expect(registry.hint([], [])).toBe(false);
+      expect(stateOf('engine-a')).toBe('leaving');
+      registry.expire(['engine-a'], SESSION * 3);
+      expect(registry.hint([], ['engine-a'])).toBe(false);
+      expect(stateOf('engine-a')).toBe('lost');
+    });
+  });
 });
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -55,6 +55,14 @@
     /** How often idle programs and held cache are looked for. */
     'sweep-milliseconds': milliseconds.default(1000),
   }),
+  /** What the platform offers; without it, only the sidecars tell that a target leaves. */
+  platform: z
+    .strictObject({
+      /** Where the list of live and leaving hosts is read. */
+      'host-list': addressSchema,
+      'host-list-milliseconds': milliseconds.default(1000),
+    })
+    .optional(),
 });
 
 /** Settings of `martenbay-entry`. */
--- /dev/null
+++ b/tests/host-list.test.ts
@@ -0,0 +1,53 @@
+import { request } from 'undici';
+import { SystemClock, formatAddress } from '../src/core';
+import { INSTANT_ENGINE, findFreeAddresses } from '../src/local';
+import { SeparateSystem } from '../scripts/separate/system';
+import { HostList, hostsSettingsSchema } from '../stand-ins';
+import { Caller } from './caller';
+
+describe("the platform's list of hosts", () => {
+  let system: SeparateSystem;
+  let list: HostList;
+  let url: string;
+
+  beforeAll(async () => {
+    const [free] = await findFreeAddresses(['127.0.0.1']);
+    if (free === undefined) throw new Error('no free address');
+    const address = formatAddress(free);
+    url = `http://${address}/`;
+    const hosts = ['engine-1', 'engine-2', 'check-in-1'];
+    const settings = hostsSettingsSchema.parse({ address, hosts, 'lag-milliseconds': 0 });
+    list = new HostList(settings, new SystemClock());
+    await list.start();
+    system = await SeparateSystem.start({
+      engineSettings: INSTANT_ENGINE,
+      entries: 1,
+      hostList: address,
+    });
+  });
+
+  afterAll(async () => {
+    await system.stop();
+    await list.stop();
+  });
+
+  async function tell(host: string, state: string): Promise<void> {
+    const answer = await request(url, { method: 'POST', body: JSON.stringify({ host, state }) });
+    await answer.body.dump();
+  }
+
+  it('takes a leaving target out of use while its sidecar serves, and brings it back', async () => {
+    await tell('engine-1', 'leaving');
+    await system.settled(system.layout.targets.length - 1);
+    const caller = new Caller(system.entryUrls[0] ?? '');
+    for (let count = 0; count < 4; count += 1) {
+      const program = await caller.createProgram();
+      expect(await caller.turn(program, 1, 'One.')).toMatchObject({ status: 200 });
+    }
+    const decisions = system.child('entry-1').lines.filter((line) => line['event'] === 'decision');
+    const chosen = new Set(decisions.map((line) => line['choice']));
+    expect([...chosen]).toEqual(['engine-2']);
+    await tell('engine-1', 'live');
+    await system.settled();
+  });
+});
--- /dev/null
+++ b/tests/regions.test.ts
@@ -0,0 +1,53 @@
+import { INSTANT_ENGINE } from '../src/local';
+import { SeparateSystem } from '../scripts/separate/system';
+import { Caller } from './caller';
+
+describe('regions, each with a control host of its own', () => {
+  let system: SeparateSystem;
+  let caller: Caller;
+
+  beforeAll(async () => {
+    system = await SeparateSystem.start({
+      engineSettings: INSTANT_ENGINE,
+      entries: 1,
+      regions: ['local', 'near', 'far'],
+      programGroups: 2,
+    });
+    caller = new Caller(system.entryUrls[0] ?? '');
+  });
+
+  afterAll(async () => {
+    await system.stop();
+  });
+
+  it('hold the programs that start in them', async () => {
+    const { groups } = await system.status();
+    expect(groups.map(({ group, voters }) => ({ group, voters }))).toEqual([
+      { group: 'configuration', voters: ['control-1', 'control-2', 'control-3'] },
+      { group: 'far-1', voters: ['control-3'] },
+      { group: 'far-2', voters: ['control-3'] },
+      { group: 'local-1', voters: ['control-1'] },
+      { group: 'local-2', voters: ['control-1'] },
+      { group: 'near-1', voters: ['control-2'] },
+      { group: 'near-2', voters: ['control-2'] },
+    ]);
+    for (let count = 0; count < 6; count += 1) {
+      expect(await caller.createProgram()).toMatch(/\.local-[12]$/);
+    }
+  });
+
+  it('go on when another one is lost, with their programs and a new configuration', async () => {
+    const program = await caller.createProgram();
+    expect(await caller.turn(program, 1, 'One.')).toMatchObject({ status: 200 });
+    const lost = system.child('control-3');
+    lost.signal('SIGKILL');
+    await lost.exited;
+    expect(await caller.turn(program, 2, 'Two.')).toMatchObject({ status: 200 });
+    await system.apply();
+    const { groups } = await system.status();
+    const leaders = new Map(groups.map(({ group, leader }) => [group, leader]));
+    expect(leaders.get('far-1')).toBeUndefined();
+    expect(leaders.get('local-1')).toBe('control-1');
+    await system.restart('control-3');
+  });
+});
