--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -15,8 +15,8 @@
 const AT_ONCE = 16;
 
 /** Memory, processor share and bytes a second of each role, idle and under load. */
-export async function benchFootprint(): Promise<void> {
-  const system = await SeparateSystem.start();
+export async function benchFootprint(programGroups: number): Promise<void> {
+  const system = await SeparateSystem.start({ programGroups });
   const idle = await observe(system, () => delay(new SystemClock(), WINDOW_MILLISECONDS));
   const agent = new Agent({ connections: AT_ONCE });
   let calls = 0;
@@ -32,7 +32,7 @@
   await agent.close();
   await system.stop();
   const callsPerSecond = round((calls / WINDOW_MILLISECONDS) * 1000);
-  printLine({ bench: 'footprint', callsPerSecond, idle, loaded });
+  printLine({ bench: 'footprint', programGroups, callsPerSecond, idle, loaded });
 }
 
 /** What each of martenbay's processes used while something went on. */
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -19,14 +19,17 @@
   .option('--calls <number>', 'calls of each kind', Number, DEFAULT_CALLS)
   .option('--kind <text>', 'only kinds of call whose names contain it', '')
   .option('--at-once <numbers>', 'calls at a time', parseNumbers, [1, 64])
+  .option('--groups <number>', 'groups of programs', Number, 4)
+  .option('--entries <number>', 'entries, and engines', Number, 1)
   .action(async (options: PathOptions) => {
     await benchPath(options);
   });
 program
   .command('footprint')
   .description('memory, processor share and bytes of each role, idle and under load')
-  .action(async () => {
-    await benchFootprint();
+  .option('--groups <number>', 'groups of programs', Number, 4)
+  .action(async (options: { readonly groups: number }) => {
+    await benchFootprint(options.groups);
   });
 program
   .command('link')
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -57,14 +57,18 @@
   /** Part of the names of the kinds of call. */
   readonly kind: string;
   readonly atOnce: readonly number[];
+  /** Groups of programs, entries and engines. */
+  readonly groups: number;
+  readonly entries: number;
 }
 
 /** Latency through martenbay beside that of the stand-in alone, in one run. */
 export async function benchPath(options: PathOptions): Promise<void> {
   const { calls } = options;
   const system = await SeparateSystem.start({
-    entries: 1,
-    engines: 1,
+    entries: options.entries,
+    engines: options.entries,
+    programGroups: options.groups,
     engineSettings: ENGINE,
   });
   const agent = new Agent({ connections: 128 });
