--- /dev/null
+++ b/src/replication/tests/member-cluster.ts
@@ -0,0 +1,268 @@
+import { SeededRandom } from '../../core';
+import type { HardState, LogEntry, RaftEnvelope } from '../messages';
+import { RaftMember } from '../raft';
+
+interface Disk {
+  hardState: HardState;
+  entries: readonly LogEntry[];
+}
+
+interface Unsynced extends Disk {
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+  readonly messages: readonly RaftEnvelope[];
+}
+
+interface Node {
+  readonly name: string;
+  member: RaftMember;
+  disk: Disk;
+  unsynced: Unsynced[];
+  /** What the disk will hold once all is synced. */
+  written: Disk;
+  alive: boolean;
+  frozen: boolean;
+}
+
+/** What a run has shown; every list is in the order it happened. */
+export interface RunReport {
+  readonly violations: readonly string[];
+  readonly committed: number;
+  readonly leaders: number;
+}
+
+const TICK_MILLISECONDS = 15;
+
+/**
+ * Members without their drivers over an in-memory network and disk. A seeded schedule delivers messages late, twice, out
+ * of order or not at all, cuts links in one or both directions, freezes members and crashes them
+ * with the loss of what was not synced.
+ */
+export class MemberCluster {
+  readonly #random: SeededRandom;
+  readonly #nodes: Node[];
+  readonly #names: readonly string[];
+  readonly #cuts = new Set<string>();
+  #network: RaftEnvelope[] = [];
+  #now = 0;
+  #proposals = 0;
+  readonly #leaderOfTerm = new Map<number, string>();
+  readonly #committed = new Map<number, LogEntry>();
+  readonly #checkedUpTo = new Map<string, number>();
+  readonly #violations: string[] = [];
+
+  constructor(seed: number, size: number) {
+    this.#random = new SeededRandom(seed);
+    this.#names = Array.from({ length: size }, (_, index) => `m${index}`);
+    this.#nodes = this.#names.map((name) => this.#boot(name, emptyDisk()));
+  }
+
+  /** Runs a number of random steps, then heals everything and lets the members settle. */
+  run(steps: number): RunReport {
+    for (let step = 0; step < steps; step += 1) this.#randomStep();
+    this.#heal();
+    this.#checkAll();
+    const last = [...this.#committed.keys()].length;
+    if (!this.#nodes.some((node) => node.member.ready))
+      this.#violations.push('no leader at the end');
+    return {
+      violations: this.#violations,
+      committed: last,
+      leaders: this.#leaderOfTerm.size,
+    };
+  }
+
+  #boot(name: string, disk: Disk): Node {
+    const member = new RaftMember({
+      self: name,
+      membership: { voters: this.#names, learners: [] },
+      random: this.#random,
+      heartbeatMilliseconds: 100,
+      electionMilliseconds: 500,
+      hardState: disk.hardState,
+      entries: disk.entries,
+    });
+    member.start(this.#now);
+    this.#checkedUpTo.set(name, 0);
+    return { name, member, disk, unsynced: [], written: disk, alive: true, frozen: false };
+  }
+
+  #randomStep(): void {
+    const choice = this.#random.fraction();
+    const node = this.#pick(this.#nodes);
+    if (node === undefined) return;
+    if (choice < 0.5) this.#deliverSome();
+    else if (choice < 0.62) this.#tick();
+    else if (choice < 0.82) this.#syncSome(node);
+    else if (choice < 0.94) this.#propose(node);
+    else if (choice < 0.945) this.#cut();
+    else if (choice < 0.95) node.frozen = true;
+    else if (choice < 0.955) this.#crash(node);
+    else if (choice < 0.975) this.#mend(node);
+    else if (choice < 0.985) {
+      this.#act(node, (member) => {
+        member.transferLeadership(this.#now);
+      });
+    } else this.#network.splice(Math.floor(this.#random.fraction() * this.#network.length), 1);
+  }
+
+  #tick(): void {
+    this.#now += TICK_MILLISECONDS * (1 + Math.floor(this.#random.fraction() * 3));
+    for (const node of this.#nodes) {
+      this.#act(node, (member) => {
+        member.tick(this.#now);
+      });
+    }
+  }
+
+  #deliverSome(): void {
+    const count = 1 + Math.floor(this.#random.fraction() * 8);
+    for (let index = 0; index < count; index += 1) this.#deliverOne();
+  }
+
+  #syncSome(node: Node): void {
+    const count = Math.ceil(this.#random.fraction() * node.unsynced.length);
+    for (let index = 0; index < count; index += 1) this.#syncOne(node);
+  }
+
+  #deliverOne(): void {
+    if (this.#network.length === 0) return;
+    const index = Math.floor(this.#random.fraction() * Math.min(this.#network.length, 8));
+    const [envelope] = this.#network.splice(index, 1);
+    if (envelope === undefined) return;
+    if (this.#random.fraction() < 0.05) this.#network.push(envelope);
+    this.#deliver(envelope);
+  }
+
+  #deliver(envelope: RaftEnvelope): void {
+    if (this.#cuts.has(`${envelope.message.from}>${envelope.to}`)) return;
+    const node = this.#nodes.find((entry) => entry.name === envelope.to);
+    if (node === undefined) return;
+    this.#act(node, (member) => {
+      member.receive(envelope.message, this.#now);
+    });
+  }
+
+  #propose(node: Node): void {
+    this.#proposals += 1;
+    this.#act(node, (member) => {
+      member.propose(`command ${this.#proposals}`, this.#now);
+    });
+  }
+
+  /** Lets a member act and takes over what it asks for. */
+  #act(node: Node, action: (member: RaftMember) => void): void {
+    if (!node.alive || node.frozen) return;
+    action(node.member);
+    const output = node.member.takeOutput();
+    this.#network.push(...output.messages);
+    const changed =
+      output.hardState !== undefined ||
+      output.truncateFrom !== undefined ||
+      output.entries.length > 0;
+    if (changed || output.messagesAfterSync.length > 0) {
+      const { truncateFrom } = output;
+      const kept =
+        truncateFrom === undefined
+          ? node.written.entries
+          : node.written.entries.slice(0, truncateFrom - 1);
+      node.written = {
+        hardState: output.hardState ?? node.written.hardState,
+        entries: [...kept, ...output.entries],
+      };
+      const { lastIndex, lastTerm } = node.member;
+      node.unsynced.push({
+        ...node.written,
+        lastIndex,
+        lastTerm,
+        messages: output.messagesAfterSync,
+      });
+    }
+    this.#check(node);
+  }
+
+  #syncOne(node: Node): void {
+    const first = node.unsynced.shift();
+    if (first === undefined || !node.alive || node.frozen) {
+      if (first !== undefined) node.unsynced.unshift(first);
+      return;
+    }
+    node.disk = { hardState: first.hardState, entries: first.entries };
+    this.#network.push(...first.messages);
+    this.#act(node, (member) => {
+      member.synced(first.lastIndex, first.lastTerm);
+    });
+  }
+
+  /** What was not synced is lost. */
+  #crash(node: Node): void {
+    node.alive = false;
+    node.unsynced = [];
+  }
+
+  #mend(node: Node): void {
+    this.#cuts.clear();
+    node.frozen = false;
+    if (!node.alive) Object.assign(node, this.#boot(node.name, node.disk));
+  }
+
+  #cut(): void {
+    const from = this.#pick(this.#names);
+    const to = this.#pick(this.#names);
+    this.#cuts.add(`${from ?? ''}>${to ?? ''}`);
+  }
+
+  #heal(): void {
+    for (const node of this.#nodes) this.#mend(node);
+    for (let round = 0; round < 400; round += 1) {
+      this.#now += TICK_MILLISECONDS;
+      for (const node of this.#nodes) {
+        this.#act(node, (member) => {
+          member.tick(this.#now);
+        });
+        while (node.unsynced.length > 0) this.#syncOne(node);
+      }
+      for (const envelope of this.#network.splice(0)) this.#deliver(envelope);
+    }
+  }
+
+  #checkAll(): void {
+    for (const node of this.#nodes) this.#check(node);
+    const indexes = this.#nodes.map((node) => node.member.commitIndex);
+    if (new Set(indexes).size > 1)
+      this.#violations.push(`commit indexes differ: ${indexes.join()}`);
+  }
+
+  /** One leader to a term, and one entry to a committed index, for ever. */
+  #check(node: Node): void {
+    const { member, name } = node;
+    if (member.role === 'leader') {
+      const known = this.#leaderOfTerm.get(member.term);
+      if (known !== undefined && known !== name) {
+        this.#violations.push(`term ${member.term} has leaders ${known} and ${name}`);
+      }
+      this.#leaderOfTerm.set(member.term, name);
+      const first = this.#nodes.filter(
+        (other) => other.alive && !other.frozen && other.member.hasReadLease(this.#now),
+      );
+      if (first.length > 1) this.#violations.push('two members hold a read lease');
+    }
+    const from = (this.#checkedUpTo.get(name) ?? 0) + 1;
+    for (const entry of member.entriesBetween(from, member.commitIndex)) {
+      const known = this.#committed.get(entry.index);
+      if (known === undefined) this.#committed.set(entry.index, entry);
+      else if (known.term !== entry.term || known.command !== entry.command) {
+        this.#violations.push(`index ${entry.index} was committed as two entries`);
+      }
+    }
+    this.#checkedUpTo.set(name, Math.max(from - 1, member.commitIndex));
+  }
+
+  #pick<T>(values: readonly T[]): T | undefined {
+    return values[Math.floor(this.#random.fraction() * values.length)];
+  }
+}
+
+function emptyDisk(): Disk {
+  return { hardState: { term: 0, votedFor: undefined }, entries: [] };
+}
