--- a/src/state/tests/snapshot.test.ts
+++ b/src/state/tests/snapshot.test.ts
@@ -83,6 +83,7 @@
     again.apply(JSON.stringify(command), 100);
     expect(await disk.mount().list('/contents')).toHaveLength(1);
     const finish = await again.flush();
+    expect(await disk.mount().list('/contents')).toHaveLength(1);
     await finish();
     expect(await disk.mount().list('/contents')).toEqual([]);
   });
--- a/src/storage/tests/segmented-store.test.ts
+++ b/src/storage/tests/segmented-store.test.ts
@@ -151,6 +151,32 @@
     });
   });
 
+  describe('on a slow disk', () => {
+    async function pass(disk: MemoryDisk): Promise<void> {
+      disk.letGo(1);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+
+    /** Whether an append is acknowledged before the snapshot asked for ahead of it is in place. */
+    async function overtakes(exclusive: boolean): Promise<boolean> {
+      const disk = new MemoryDisk();
+      const store = new SegmentedStore({ folder: '/data', fileSystem: disk.mount() });
+      await store.load();
+      disk.slow = true;
+      const order: string[] = [];
+      const compacted = store.compact({ snapshot: ['row'], records: [], exclusive });
+      void compacted.then(() => order.push('snapshot'));
+      void store.append(['one']).then(() => order.push('append'));
+      while (order.length < 2) await pass(disk);
+      return order[0] === 'append';
+    }
+
+    it('keeps appends waiting for a snapshot that they rest on, and only then', async () => {
+      expect(await overtakes(true)).toBe(false);
+      expect(await overtakes(false)).toBe(true);
+    });
+  });
+
   describe('on a disk that fails', () => {
     it('refuses a folder that is a file', async () => {
       await writeFile(join(folder, '..', 'nested'), 'x');
