A frozen leader of a group is noticed in a second; all groups are handed over at once

'Changes nothing when it wakes' took 14.7 s, and a turn with a deadline of 9 s was refused with 503. Ruled out: a shorter hold (each waiting step would ask more often); probes of the configuration's leader (a second message to each heartbeat). Now a call to another group's leader that waits asks that host every 0.5 s for its term, and gives it up after 1 s without an answer. The test asks with the deadline of 9 s: seen failing (503), now 200; it takes 5.7 s as a whole. Also: a host that stops handed its groups over one after the other, up to 2 s each when all hosts stop together; now all at the same time. A test that fails with a frozen process no longer hangs at the end: processes are woken before they are stopped. 173 tests pass.

--- a/scripts/separate/system.ts
+++ b/scripts/separate/system.ts
@@ -144,7 +144,11 @@
     const codes: Record<string, number | string> = {};
     for (const group of [entries, sidecars, controls, standIns]) {
       const children = group.map((plan) => this.child(plan.name));
-      for (const child of children) child.signal('SIGTERM');
+      for (const child of children) {
+        // A test that failed may have left it frozen.
+        child.signal('SIGCONT');
+        child.signal('SIGTERM');
+      }
       for (const child of children) codes[child.name] = await child.exited;
     }
     await rm(this.#folder, { recursive: true, force: true });
--- a/src/control/process.ts
+++ b/src/control/process.ts
@@ -119,6 +119,8 @@
     lifeCycle.add('target-sweep', this.#createTargetSweep());
     for (const group of this.#groups) this.#addGroup(lifeCycle, group);
     this.#addHostList(lifeCycle);
+    // Stops first, so that all groups are handed over at the same time.
+    lifeCycle.add('hand-over', { stop: () => this.#handOver() });
     this.#registerGauges();
   }
 
@@ -262,6 +264,11 @@
     });
   }
 
+  async #handOver(): Promise<void> {
+    const logs = [this.#configurationLog, ...this.#groups.map((group) => group.log)];
+    await Promise.all(logs.map((log) => log.handOver()));
+  }
+
   #logOf(group: string): LogView | undefined {
     if (group === CONFIGURATION_GROUP) return this.#configurationLog;
     return this.#groups.find((entry) => entry.name === group)?.log;
--- a/src/protocol/control-client.ts
+++ b/src/protocol/control-client.ts
@@ -1,12 +1,14 @@
 import { TRPCClientError, type TRPCClient, createTRPCClient } from '@trpc/client';
 import {
   type Address,
+  type CancelTimer,
   type Clock,
   type Component,
   MartenbayError,
   delay,
   formatAddress,
   messageOf,
+  startTimeout,
 } from '../core';
 import { CONFIGURATION_GROUP } from '../state/groups';
 import type { ControlRouter } from './router';
@@ -55,6 +57,10 @@
 
 const RETRY_MILLISECONDS = 25;
 
+/** Wait for an answer after which a member is probed, and the longest wait for that; milliseconds. */
+const PROBE_AFTER_MILLISECONDS = 500;
+const PROBE_ANSWER_MILLISECONDS = 1000;
+
 /**
  * Calls whichever control host leads a group. A call is repeated at other members until one answers or
  * its deadline passes; every procedure gives a repeated call the same answer.
@@ -65,6 +71,8 @@
   readonly #members: readonly MemberConnection[];
   /** Calls under way, each with the member that it waits for. */
   readonly #attempts = new Map<AbortController, MemberConnection>();
+  /** Members that are being probed. */
+  readonly #probed = new Set<MemberConnection>();
   /** Place in the list of members of the one that is asked first, by group. */
   readonly #current = new Map<string, number>();
   #stopped = false;
@@ -129,7 +137,8 @@
       if (member === undefined) break;
       try {
         const limit = Math.min(remaining, attemptMilliseconds);
-        const answer = await this.#attempt(member, operate, limit);
+        const probes = group !== CONFIGURATION_GROUP;
+        const answer = await this.#attempt(member, operate, limit, probes);
         if (answer.outcome !== 'not-leader') return answer as Exclude<T, NotLeader>;
         this.#follow(group, member, (answer as NotLeader).leader);
       } catch (error) {
@@ -149,20 +158,56 @@
     member: MemberConnection,
     operate: (connection: ControlConnection, signal: AbortSignal) => Promise<T>,
     milliseconds: number,
+    probes = false,
   ): Promise<T> {
     const controller = new AbortController();
     this.#attempts.set(controller, member);
     const cancel = this.#clock.after(milliseconds, () => {
       this.#giveUp(member, new Error(`${member.name} did not answer in ${milliseconds} ms`));
     });
+    const cancelProbe = probes ? this.#probeLater(member) : () => undefined;
     try {
       return await operate(member.connection, controller.signal);
     } finally {
       cancel();
+      cancelProbe();
       this.#attempts.delete(controller);
     }
   }
 
+  /**
+   * A leader may hold a call for long. So that one that is frozen or cut off is noticed meanwhile,
+   * it is asked again and again for something that it answers at once. The leader of the
+   * configuration is not: the heartbeats that it gets tell as much.
+   */
+  #probeLater(member: MemberConnection): CancelTimer {
+    let cancel: CancelTimer = () => undefined;
+    const schedule = () => {
+      cancel = this.#clock.after(PROBE_AFTER_MILLISECONDS, () => {
+        void this.#probe(member);
+        schedule();
+      });
+    };
+    schedule();
+    return () => {
+      cancel();
+    };
+  }
+
+  async #probe(member: MemberConnection): Promise<void> {
+    if (this.#probed.has(member)) return;
+    this.#probed.add(member);
+    const { controller, cancel } = startTimeout(this.#clock, PROBE_ANSWER_MILLISECONDS);
+    try {
+      await member.connection.groups.knownTerm.query(undefined, { signal: controller.signal });
+    } catch (error) {
+      this.#giveUp(member, new Error(`${member.name} answers no probe: ${messageOf(error)}`));
+    } finally {
+      cancel();
+      this.#probed.delete(member);
+    }
+  }
+
   /**
    * A member that leaves one call unanswered is taken for frozen or cut off: every call that waits
    * for it is made elsewhere, so that a long one does not wait out its own time.
--- a/src/replication/records.ts
+++ b/src/replication/records.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type { StoredRecords } from '../storage';
+import type { RecordStore, StoredRecords } from '../storage';
 import { LOG_START, type LogPosition } from './entries';
 import { type Membership, NO_MEMBERS, membershipSchema } from './membership';
 import { type HardState, type LogEntry, logEntrySchema } from './messages';
@@ -49,8 +49,19 @@
   return records.map((record) => JSON.stringify(record));
 }
 
+/** Reads a member back; a folder that is empty gets an incarnation first. */
+export async function loadMember(
+  store: RecordStore,
+  createIncarnation: () => string,
+): Promise<StoredMember & { readonly incarnation: string }> {
+  const stored = decodeStored(await store.load());
+  const incarnation = stored.incarnation ?? createIncarnation();
+  if (stored.incarnation === undefined) await store.append([encodeIncarnation(incarnation)]);
+  return { ...stored, incarnation };
+}
+
 /** Encodes the first record of a new folder. */
-export function encodeIncarnation(incarnation: string): string {
+function encodeIncarnation(incarnation: string): string {
   return JSON.stringify({ kind: 'incarnation', incarnation } satisfies StoredRecord);
 }
 
@@ -78,7 +89,7 @@
  * was not finished left behind; entries after a gap were written ahead of such a snapshot and
  * never acknowledged.
  */
-export function decodeStored({ snapshot, records }: StoredRecords): StoredMember {
+function decodeStored({ snapshot, records }: StoredRecords): StoredMember {
   const [headRow, ...rows] = snapshot ?? [];
   const head = headRow === undefined ? undefined : headSchema.parse(JSON.parse(headRow));
   const base = head === undefined ? LOG_START : { index: head.index, term: head.term };
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -9,7 +9,7 @@
 import type { RaftOutput } from './outbox';
 import { Proposals } from './proposals';
 import { RaftMember } from './raft';
-import { type StoredMember, decodeStored, encodeIncarnation, encodeOutput } from './records';
+import { type StoredMember, encodeOutput, loadMember } from './records';
 import { SnapshotExchange } from './snapshot-exchange';
 import { type ReceivedSnapshot, buildInstalledAnswer } from './snapshot-transfer';
 
@@ -43,6 +43,7 @@
   #installing = false;
   #syncing: Promise<void> = Promise.resolve();
   #failed = false;
+  #handingOver: Promise<void> | undefined;
   #lastChange = '';
   #changeListeners: (() => void)[] = [];
 
@@ -53,11 +54,8 @@
   async start(): Promise<void> {
     const { store, clock, random, machine } = this.#options;
     const { heartbeatMilliseconds = 100 } = this.#options;
-    const stored = decodeStored(await store.load());
-    this.#incarnation = stored.incarnation ?? random.hex(8);
-    if (stored.incarnation === undefined) {
-      await store.append([encodeIncarnation(this.#incarnation)]);
-    }
+    const stored = await loadMember(store, () => random.hex(8));
+    this.#incarnation = stored.incarnation;
     this.#parts = this.#build(stored);
     if (stored.base.index > 0) machine.restore(stored.rows);
     this.#appliedIndex = stored.base.index;
@@ -103,7 +101,7 @@
 
   /** Hands leadership over, syncs what is under way and closes the store. */
   async stop(): Promise<void> {
-    if (this.role === 'leader') await this.#handOver();
+    await this.handOver();
     this.#cancelTick();
     this.#failed = true;
     this.#proposals.rejectAll('the member is stopping');
@@ -334,7 +332,13 @@
     for (const listener of this.#changeListeners.splice(0)) listener();
   }
 
-  #handOver(): Promise<void> {
+  /** Hands leadership over before a planned stop, once; does nothing if this member does not lead. */
+  handOver(): Promise<void> {
+    this.#handingOver ??= this.role === 'leader' ? this.#offerLead() : Promise.resolve();
+    return this.#handingOver;
+  }
+
+  #offerLead(): Promise<void> {
     const { clock, electionMilliseconds = 500, heartbeatMilliseconds = 100 } = this.#options;
     return handOver({
       clock,
--- a/tests/caller.ts
+++ b/tests/caller.ts
@@ -47,9 +47,15 @@
   }
 
   /** A turn that sends only its new message. */
-  turn(program: string, sequence: number, content: string, extra: object = {}): Promise<Reply> {
+  turn(
+    program: string,
+    sequence: number,
+    content: string,
+    extra: object = {},
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Reply> {
     return this.send('/v1/chat/completions', {
-      headers: stepHeaders(program, sequence, { 'martenbay-history': 'append' }),
+      headers: stepHeaders(program, sequence, { 'martenbay-history': 'append', ...headers }),
       body: { model: 'stand-in', messages: [{ role: 'user', content }], ...extra },
     });
   }
--- a/tests/process-failures.test.ts
+++ b/tests/process-failures.test.ts
@@ -4,6 +4,9 @@
 import { SeparateSystem } from '../scripts/separate/system';
 import { Caller, contentOf } from './caller';
 
+/** Less than the longest time for which a leader holds a call that waits. */
+const FROZEN_DEADLINE_MILLISECONDS = 9000;
+
 /** Sessions end soon after a process does, so that another takes its work over soon. */
 const SHORT_SESSIONS = {
   controlSettings: { 'session-milliseconds': 400 },
@@ -111,7 +114,9 @@
       const program = await first.createProgram();
       const { leader, term } = await system.groupOf(program);
       system.child(leader).signal('SIGSTOP');
-      expect(await first.turn(program, 1, 'One.')).toMatchObject({ status: 200 });
+      const deadline = { 'martenbay-deadline': String(FROZEN_DEADLINE_MILLISECONDS) };
+      const answer = await first.turn(program, 1, 'One.', {}, deadline);
+      expect(answer).toMatchObject({ status: 200 });
       system.child(leader).signal('SIGCONT');
       expect(await second.turn(program, 2, 'Two.')).toMatchObject({ status: 200 });
       const after = await system.groupOf(program);
