--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -142,8 +142,8 @@
 
   /** Members that have not answered this leader for a while. */
   get silentMembers(): readonly string[] {
-    const { member, keeper } = this.#started;
-    return keeper.silentMembers(member, this.#options.clock.monotonic());
+    const now = this.#options.clock.monotonic();
+    return this.#started.keeper.silentMembers(this.#member, now);
   }
 
   /** Entries held in memory behind the last snapshot. */
@@ -282,10 +282,9 @@
 
   #sendSnapshot(peer: string): void {
     const { machine, clock } = this.#options;
-    const { term } = this.#member;
     const head = this.#member.headAt(this.#appliedIndex);
     const rows = machine.transfer?.() ?? machine.snapshot();
-    this.#started.snapshots.begin(peer, term, head, rows, clock.monotonic());
+    this.#started.snapshots.begin(peer, this.term, head, rows, clock.monotonic());
   }
 
   #sync(output: RaftOutput, send: Send): Promise<void> {
