--- a/src/control/program-service.ts
+++ b/src/control/program-service.ts
@@ -1,6 +1,6 @@
 import type { Clock, Metrics } from '../core';
 import type { FoundProgram, GroupSummary, NotLeader, Noted } from '../protocol';
-import { ReplicationError, nameOf } from '../replication';
+import { ReplicationError } from '../replication';
 import {
   type AbandonStep,
   type BeginDecision,
@@ -30,6 +30,7 @@
 import type { ProgramGroupMember } from './group';
 import type { EntryLiveness } from './liveness';
 import { CHANGE_KEYS, type Notifier } from './notifier';
+import { redirect } from './redirect';
 import { describeGroup, describeTeams } from './status';
 
 export interface ProgramServiceOptions {
@@ -121,8 +122,7 @@
   /** Names the leader, if another host is known to be it. */
   get notLeader(): NotLeader {
     const { self, group } = this.#options;
-    const leader = group.log.leader === undefined ? undefined : nameOf(group.log.leader);
-    return { outcome: 'not-leader', leader: leader === self ? undefined : leader };
+    return redirect(self, group.log);
   }
 
   #textsOf(decision: BeginDecision | CompleteDecision): Promise<readonly string[]> {
--- a/src/control/service.ts
+++ b/src/control/service.ts
@@ -17,7 +17,7 @@
   Watch,
   WatchChanges,
 } from '../protocol';
-import { type Envelope, type ReplicatedLog, ReplicationError, nameOf } from '../replication';
+import { type Envelope, type ReplicatedLog, ReplicationError } from '../replication';
 import {
   type AbandonStep,
   type AcceptConfiguration,
@@ -38,6 +38,7 @@
 import { CHANGE_KEYS, type Notifier } from './notifier';
 import type { OfferedOrders } from './offered-orders';
 import { type ProgramService, unknownProgram } from './program-service';
+import { redirect } from './redirect';
 import type { NodeRegistry } from './registry';
 import { gatherStatus } from './status';
 
@@ -249,8 +250,7 @@
 
   get #notLeader(): NotLeader {
     const { self, log } = this.#options;
-    const leader = log.leader === undefined ? undefined : nameOf(log.leader);
-    return { outcome: 'not-leader', leader: leader === self ? undefined : leader };
+    return redirect(self, log);
   }
 }
 
