--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,10 +19,20 @@
   { name: 'bench', entry: 'bench/main.ts' },
 ];
 
-await rm('dist', { recursive: true, force: true });
+/** The programs that run on the users' platform. */
+const PLATFORM_BINARIES = [
+  { name: 'platform-gateway', entry: 'platform/gateway.ts' },
+  { name: 'platform-store', entry: 'platform/store.ts' },
+];
+
+// Without a folder every program goes to dist/; `target` gets those of the platform alone.
+const folder = process.argv[2] ?? 'dist';
+const binaries = folder === 'dist' ? [...BINARIES, ...PLATFORM_BINARIES] : PLATFORM_BINARIES;
+
+await rm(folder, { recursive: true, force: true });
 await Promise.all(
-  BINARIES.map(async ({ name, entry, flags }) => {
-    const outfile = `dist/${name}.cjs`;
+  binaries.map(async ({ name, entry, flags }) => {
+    const outfile = `${folder}/${name}.cjs`;
     await build({
       entryPoints: [entry],
       outfile,
--- /dev/null
+++ b/src/cluster/index.ts
@@ -0,0 +1,14 @@
+export { ClusterClient, type ClusterClientOptions } from './client';
+export type { ClusterContract, RetirementOutcome, VersionedConfiguration } from './contract';
+export { NodeDirectory } from './directory';
+export { ClusterUnavailable } from './errors';
+export { Founding } from './founding';
+export { Greeter } from './greeter';
+export { type ClusterCommand, ClusterMachine, type CommandOutcome } from './machine';
+export { ClusterMember } from './member';
+export { Newest } from './newest';
+export type { KnownNode, NodeInfo, NodeKind, NodeStatus } from './node';
+export { ClusterService, type KeeperParts } from './service';
+export { FIRST_EPOCH, type StoreView, type ViewMember, viewSizeFor } from './view';
+export { ViewKeeper } from './view-keeper';
+export { type ViewPlanInput, type ViewStep, planView } from './view-plan';
--- /dev/null
+++ b/src/cluster/machine.ts
@@ -0,0 +1,130 @@
+import * as z from 'zod';
+import type { StateMachine } from '../replication';
+import type { VersionedConfiguration } from './contract';
+import type { RetirementState, StoreView } from './view';
+
+const viewMemberSchema = z.object({
+  name: z.string(),
+  address: z.string(),
+  availabilityZone: z.string(),
+  dataLife: z.string(),
+  joined: z.int(),
+});
+
+const viewSchema = z.object({
+  epoch: z.int(),
+  members: z.array(viewMemberSchema).readonly(),
+  quorum: z.int(),
+});
+
+const retirementStateSchema = z.enum(['running', 'completed']);
+
+const commandSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('configure'), version: z.number(), text: z.string() }),
+  z.object({ kind: z.literal('view'), view: viewSchema }),
+  z.object({ kind: z.literal('retire'), store: z.string(), state: retirementStateSchema }),
+]);
+
+/** A change of the cluster's replicated state. */
+export type ClusterCommand = Readonly<z.output<typeof commandSchema>>;
+
+/** Whether a command changed the state, or found it newer already. */
+export type CommandOutcome = 'changed' | 'unchanged';
+
+const rowSchema = z.discriminatedUnion('table', [
+  z.object({ table: z.literal('configuration'), version: z.number(), text: z.string() }),
+  z.object({ table: z.literal('view'), view: viewSchema }),
+  z.object({ table: z.literal('retirement'), store: z.string(), state: retirementStateSchema }),
+]);
+
+export interface ClusterMachineOptions {
+  readonly onConfiguration: (configuration: VersionedConfiguration) => void;
+  readonly onView: (view: StoreView) => void;
+}
+
+/**
+ * The cluster's replicated state: the newest configuration, the stores in use, and which of them
+ * are to leave. The highest version of a configuration wins; a lower or equal one changes nothing.
+ */
+export class ClusterMachine implements StateMachine<CommandOutcome> {
+  readonly #options: ClusterMachineOptions;
+  #configuration: VersionedConfiguration | undefined;
+  #view: StoreView | undefined;
+  #retirements = new Map<string, RetirementState>();
+
+  constructor(options: ClusterMachineOptions) {
+    this.#options = options;
+  }
+
+  get configuration(): VersionedConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  get view(): StoreView | undefined {
+    return this.#view;
+  }
+
+  get retirements(): ReadonlyMap<string, RetirementState> {
+    return this.#retirements;
+  }
+
+  apply(text: string): CommandOutcome {
+    const command = commandSchema.parse(JSON.parse(text));
+    const changed = this.#change(command);
+    return changed ? 'changed' : 'unchanged';
+  }
+
+  *snapshot(): Generator<string> {
+    if (this.#configuration !== undefined) {
+      yield JSON.stringify({ table: 'configuration', ...this.#configuration });
+    }
+    if (this.#view !== undefined) yield JSON.stringify({ table: 'view', view: this.#view });
+    for (const [store, state] of [...this.#retirements]) {
+      yield JSON.stringify({ table: 'retirement', store, state });
+    }
+  }
+
+  restore(rows: readonly string[]): void {
+    this.#retirements = new Map();
+    for (const text of rows) {
+      const row = rowSchema.parse(JSON.parse(text));
+      if (row.table === 'configuration') this.#configure(row.version, row.text);
+      else if (row.table === 'view') this.#takeView(row.view);
+      else this.#retirements.set(row.store, row.state);
+    }
+  }
+
+  #change(command: ClusterCommand): boolean {
+    switch (command.kind) {
+      case 'configure':
+        return this.#configure(command.version, command.text);
+      case 'view':
+        if (command.view.epoch !== (this.#view?.epoch ?? 0) + 1) return false;
+        return this.#takeView(command.view);
+      case 'retire':
+        return this.#retire(command.store, command.state);
+    }
+  }
+
+  #configure(version: number, text: string): boolean {
+    if (this.#configuration !== undefined && version <= this.#configuration.version) return false;
+    this.#configuration = { version, text };
+    this.#options.onConfiguration(this.#configuration);
+    return true;
+  }
+
+  #takeView(view: StoreView): boolean {
+    if (view.epoch <= (this.#view?.epoch ?? 0)) return false;
+    this.#view = view;
+    this.#options.onView(view);
+    return true;
+  }
+
+  /** A completed retirement stays so. */
+  #retire(store: string, state: RetirementState): boolean {
+    const present = this.#retirements.get(store);
+    if (present === state || present === 'completed') return false;
+    this.#retirements.set(store, state);
+    return true;
+  }
+}
--- a/src/core/address.ts
+++ b/src/core/address.ts
@@ -25,6 +25,11 @@
   return { host, port };
 });
 
+/** Parses an address that was checked before or comes from a peer; throws on any other text. */
+export function parseAddress(text: string): Address {
+  return addressSchema.parse(text);
+}
+
 /** Renders an address as it is written in settings. */
 export function formatAddress(address: Address): string {
   return address.host.includes(':')
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,4 @@
-export { type Address, addressSchema, formatAddress } from './address';
+export { type Address, addressSchema, formatAddress, parseAddress } from './address';
 export {
   type CancelTimer,
   type Clock,
--- /dev/null
+++ b/src/gateway/call-handler.ts
@@ -0,0 +1,44 @@
+import type { Route, RouteTable } from '../routes';
+import type { PlacementRequest } from '../targets';
+import type { Exchange } from './exchange';
+import type { Forwarder } from './forwarder';
+
+/** Passes a request whose answer is collected whole to a target. */
+export async function handleCall(
+  forwarder: Forwarder,
+  exchange: Exchange,
+  route: Route,
+  table: RouteTable,
+): Promise<void> {
+  const body = await exchange.readBody(table.configuration.limits.bodyBytes);
+  if (body === 'gone') {
+    exchange.log('gone');
+    return;
+  }
+  if (body === 'too-large') {
+    exchange.refuse(BODY_TOO_LARGE);
+    return;
+  }
+  const outcome = await forwarder.forward({
+    exchange,
+    route,
+    table,
+    body: body.length > 0 ? body : null,
+    placement: placementOf(exchange),
+  });
+  if (outcome.kind === 'answered') exchange.answer(outcome.status, outcome.headers, outcome.body);
+  else if (outcome.kind === 'refused') exchange.refuse(outcome.refusal);
+  else exchange.log('gone');
+}
+
+export const BODY_TOO_LARGE = {
+  status: 413,
+  code: 'body_too_large',
+  message: 'the body is longer than the configuration allows; send less',
+} as const;
+
+/** Placement of a request that continues nothing. */
+export function placementOf({ head }: Exchange): PlacementRequest {
+  const { parts, promptTokens } = head;
+  return { parts, promptTokens, lastTarget: undefined, heldTokens: 0 };
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,176 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, Logger, Metrics } from '../core';
+import type { Route } from '../routes';
+import type { RequestHead } from './wire';
+
+/** Why the gateway answers a request itself. */
+export type RefusalCode =
+  | 'no_configuration'
+  | 'no_route'
+  | 'bad_request'
+  | 'body_too_large'
+  | 'budget_spent'
+  | 'no_such_turn'
+  | 'turns_unavailable'
+  | 'no_target'
+  | 'not_run'
+  | 'outcome_unknown'
+  | 'time_over';
+
+/** An answer of the gateway's own. */
+export interface Refusal {
+  readonly status: number;
+  readonly code: RefusalCode;
+  readonly message: string;
+  /** Seconds after which the caller may try again; only where the request was not run. */
+  readonly retryAfterSeconds?: number;
+}
+
+export interface ExchangeOptions {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly head: RequestHead;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Whether the caller is to open another connection for its next request. */
+  readonly closes: () => boolean;
+}
+
+/** One request of a caller, from its arrival to its answer. */
+export class Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly head: RequestHead;
+  /** Monotonic time of arrival, milliseconds. */
+  readonly arrivedAt: number;
+  readonly #options: ExchangeOptions;
+  readonly #goneListeners = new Set<() => void>();
+  readonly #decisions: Record<string, unknown>[] = [];
+  #isGone = false;
+  #route: Route | undefined;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.request = options.request;
+    this.response = options.response;
+    this.head = options.head;
+    this.arrivedAt = options.clock.monotonic();
+    this.response.once('close', () => {
+      this.#close();
+    });
+  }
+
+  set route(route: Route) {
+    this.#route = route;
+  }
+
+  /** Whether the caller has closed its connection before the answer was whole. */
+  get isGone(): boolean {
+    return this.#isGone;
+  }
+
+  /** Monotonic time at which the answer must be there: the caller's wait or the route's timeout. */
+  get deadline(): number {
+    const wait = this.head.waitMilliseconds ?? Infinity;
+    return this.arrivedAt + Math.min(wait, this.#route?.timeoutMilliseconds ?? Infinity);
+  }
+
+  get remainingMilliseconds(): number {
+    return this.deadline - this.#options.clock.monotonic();
+  }
+
+  /** Calls `listener` when the caller leaves; returns what takes it back. */
+  onGone(listener: () => void): () => void {
+    this.#goneListeners.add(listener);
+    return () => {
+      this.#goneListeners.delete(listener);
+    };
+  }
+
+  /** Notes a decision for the request's log line. */
+  decide(decision: Record<string, unknown>): void {
+    this.#decisions.push(decision);
+  }
+
+  /** Reads the whole body; nothing if it is longer than `limitBytes` or the caller leaves. */
+  async readBody(limitBytes: number): Promise<Buffer | 'too-large' | 'gone'> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const chunk of this.request) {
+        length += (chunk as Buffer).length;
+        if (length > limitBytes) return 'too-large';
+        chunks.push(chunk as Buffer);
+      }
+    } catch {
+      return 'gone';
+    }
+    return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+  }
+
+  /** Begins the answer of a target. */
+  begin(status: number, rawHeaders: readonly string[]): void {
+    this.#markClosing();
+    this.response.writeHead(status, [...rawHeaders]);
+  }
+
+  /** Passes on a whole answer of a target. */
+  answer(status: number, rawHeaders: readonly string[], body: Buffer): void {
+    if (this.#isGone) return;
+    this.begin(status, rawHeaders);
+    this.response.end(body);
+    this.log('answered', { status });
+  }
+
+  /** Answers for the gateway itself. */
+  refuse({ status, code, message, retryAfterSeconds }: Refusal): void {
+    this.#options.metrics.count(`refusals_total{code="${code}"}`);
+    this.log('refused', { status, code, reason: message, retryAfterSeconds });
+    if (this.#isGone || this.response.headersSent) return;
+    this.#markClosing();
+    const body = Buffer.from(JSON.stringify({ error: { code, message } }));
+    this.response.setHeader('content-type', 'application/json');
+    this.response.setHeader('content-length', body.length);
+    if (retryAfterSeconds !== undefined) {
+      this.response.setHeader('retry-after', retryAfterSeconds.toFixed(2));
+    }
+    this.response.statusCode = status;
+    this.response.end(body);
+  }
+
+  /** Ends a connection whose answer can't be made whole. */
+  breakOff(reason: string): void {
+    this.log('broken-off', { reason });
+    this.response.destroy();
+  }
+
+  log(outcome: string, details: Record<string, unknown> = {}): void {
+    const { clock, logger, metrics } = this.#options;
+    const milliseconds = clock.monotonic() - this.arrivedAt;
+    const kind = this.#route?.kind ?? 'none';
+    metrics.count(`requests_total{kind="${kind}",outcome="${outcome}"}`);
+    metrics.observe(`request_${kind}`, milliseconds);
+    logger.info({
+      event: 'request',
+      request: this.head.id,
+      program: this.head.program,
+      route: this.#route?.name,
+      outcome,
+      ...details,
+      milliseconds: Math.round(milliseconds),
+      decisions: this.#decisions,
+    });
+  }
+
+  #markClosing(): void {
+    if (this.#options.closes()) this.response.shouldKeepAlive = false;
+  }
+
+  #close(): void {
+    if (this.response.writableFinished) return;
+    this.#isGone = true;
+    for (const listener of this.#goneListeners) listener();
+    this.#goneListeners.clear();
+  }
+}
--- /dev/null
+++ b/src/gateway/server.ts
@@ -0,0 +1,140 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { type Address, type Clock, type Component, type Logger, type Metrics, messageOf } from '../core';
+import type { CallerLimits, RouteTable } from '../routes';
+import { handleCall } from './call-handler';
+import { Exchange, type Refusal } from './exchange';
+import type { Forwarder } from './forwarder';
+import type { TurnHandler } from './turn-handler';
+import type { Wire } from './wire';
+
+/** Pause between looks for callers that are too slow with their headers; milliseconds. */
+const CHECK_MILLISECONDS = 1000;
+
+/** Longest wait for a whole request, however slowly it comes; milliseconds. */
+const REQUEST_MILLISECONDS = 60_000;
+
+/** Pause that a refusal asks for while no configuration is known; seconds. */
+const CONFIGURATION_RETRY_SECONDS = 0.5;
+
+export interface GatewayServerOptions {
+  readonly address: Address;
+  readonly wire: Wire;
+  readonly forwarder: Forwarder;
+  readonly turnHandler: TurnHandler;
+  readonly routes: () => RouteTable | undefined;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Takes the requests of callers. */
+export class GatewayServer implements Component {
+  readonly #options: GatewayServerOptions;
+  readonly #server: Server;
+  readonly #underWay = new Set<Exchange>();
+  #closing = false;
+  #onIdle: () => void = () => undefined;
+
+  constructor(options: GatewayServerOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      {
+        connectionsCheckingInterval: CHECK_MILLISECONDS,
+        requestTimeout: REQUEST_MILLISECONDS,
+        noDelay: true,
+      },
+      (request, response) => {
+        void this.#serve(request, response);
+      },
+    );
+    options.metrics.gauge('requests_under_way', () => this.#underWay.size);
+  }
+
+  start(): Promise<void> {
+    const { host, port } = this.#options.address;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Takes the bounds of a new configuration; they hold for connections that come later. */
+  limit({ headerBytes, headerMilliseconds, idleMilliseconds }: CallerLimits): void {
+    const server = this.#server as Server & { maxHeaderSize?: number };
+    server.maxHeaderSize = headerBytes;
+    server.headersTimeout = headerMilliseconds;
+    server.keepAliveTimeout = idleMilliseconds;
+  }
+
+  /** From now on callers are told to open another connection after each answer. */
+  beginClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Resolves when no request is under way. */
+  idle(): Promise<void> {
+    if (this.#underWay.size === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#onIdle = resolve;
+    });
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { wire, clock, logger, metrics } = this.#options;
+    const exchange = new Exchange({
+      request,
+      response,
+      head: wire.readRequest(request.headers),
+      clock,
+      logger,
+      metrics,
+      closes: () => this.#closing,
+    });
+    this.#underWay.add(exchange);
+    try {
+      await this.#route(exchange);
+    } catch (error) {
+      logger.error({ event: 'request-failed', request: exchange.head.id, error: messageOf(error) });
+      exchange.breakOff('an error of the gateway');
+    } finally {
+      this.#underWay.delete(exchange);
+      if (this.#underWay.size === 0) this.#onIdle();
+    }
+  }
+
+  async #route(exchange: Exchange): Promise<void> {
+    const table = this.#options.routes();
+    if (table === undefined) {
+      exchange.refuse(NO_CONFIGURATION);
+      return;
+    }
+    const { host = '' } = exchange.request.headers;
+    const path = (exchange.request.url ?? '/').split('?', 1)[0] ?? '/';
+    const route = table.find(host, path);
+    if (route === undefined) {
+      exchange.refuse(noRoute(table.configuration.version));
+      return;
+    }
+    exchange.route = route;
+    const { forwarder, turnHandler } = this.#options;
+    if (route.kind === 'stream') await turnHandler.handle(exchange, route, table);
+    else await handleCall(forwarder, exchange, route, table);
+  }
+}
+
+const NO_CONFIGURATION: Refusal = {
+  status: 503,
+  code: 'no_configuration',
+  message: 'no configuration is known here yet; the request was not run',
+  retryAfterSeconds: CONFIGURATION_RETRY_SECONDS,
+};
+
+function noRoute(version: number): Refusal {
+  const message = `configuration ${version} has no route for this host and path`;
+  return { status: 404, code: 'no_route', message };
+}
--- /dev/null
+++ b/src/gateway/turn-handler.ts
@@ -0,0 +1,269 @@
+import { type Clock, type Logger, MartenbayError, type Metrics } from '../core';
+import type { Route, RouteTable } from '../routes';
+import type { Placement, PlacementRequest } from '../targets';
+import { type TurnClient, type TurnRecord, TurnsUnavailable } from '../turns';
+import type { Attempt } from './attempt';
+import { BODY_TOO_LARGE, placementOf } from './call-handler';
+import { EventOutput } from './event-output';
+import type { Exchange, Refusal } from './exchange';
+import type { ForwardOutcome, Forwarder } from './forwarder';
+
+/** Longest time spent on budget and chain before a turn is refused; milliseconds. */
+const PREPARE_MILLISECONDS = 1500;
+
+/** Shortest time for which a whole turn is tried to be kept; milliseconds. */
+const RECORD_MILLISECONDS = 2500;
+
+/** Pause that a refusal asks for while too few stores answer; seconds. */
+const STORES_RETRY_SECONDS = 0.3;
+
+export interface TurnHandlerOptions {
+  readonly forwarder: Forwarder;
+  readonly turns: TurnClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** One turn on its way. */
+interface Turn {
+  readonly exchange: Exchange;
+  readonly route: Route;
+  readonly table: RouteTable;
+  readonly id: string;
+  readonly program: string;
+  readonly input: Buffer;
+}
+
+type Chain = readonly TurnRecord[];
+
+/** What stands before a turn is sent: its chain, or why it is refused. */
+type Preparation =
+  | { readonly kind: 'ready'; readonly chain: Chain }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** Streams turns of engines, whose chains and budgets the system keeps. */
+export class TurnHandler {
+  readonly #options: TurnHandlerOptions;
+
+  constructor(options: TurnHandlerOptions) {
+    this.#options = options;
+  }
+
+  async handle(exchange: Exchange, route: Route, table: RouteTable): Promise<void> {
+    const input = await exchange.readBody(table.configuration.limits.bodyBytes);
+    if (input === 'gone') {
+      exchange.log('gone');
+      return;
+    }
+    if (input === 'too-large') {
+      exchange.refuse(BODY_TOO_LARGE);
+      return;
+    }
+    const { id } = exchange.head;
+    if (id === undefined) {
+      exchange.refuse(NO_ID);
+      return;
+    }
+    const program = exchange.head.program ?? id;
+    const turn: Turn = { exchange, route, table, id, program, input };
+    const isKept = route.retentionSeconds !== undefined;
+    const preparation = isKept ? await this.#prepare(turn) : READY;
+    if (preparation.kind === 'refused') {
+      this.#release(turn);
+      exchange.refuse(preparation.refusal);
+      return;
+    }
+    await this.#send(turn, preparation.chain);
+  }
+
+  async #prepare(turn: Turn): Promise<Preparation> {
+    const { turns, clock } = this.#options;
+    const { head } = turn.exchange;
+    const startedAt = clock.monotonic();
+    const deadline = Math.min(startedAt + PREPARE_MILLISECONDS, turn.exchange.deadline);
+    const [fits, chain] = await Promise.all([
+      this.#ask(() => this.#reserve(turn, deadline)),
+      this.#ask(() =>
+        head.previousTurn === undefined
+          ? Promise.resolve({ kind: 'found', records: [] } as const)
+          : turns.chain(head.previousTurn, deadline),
+      ),
+    ]);
+    turn.exchange.decide({
+      step: 'prepare',
+      budget: fits instanceof TurnsUnavailable ? 'unknown' : fits,
+      chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
+      milliseconds: Math.round(clock.monotonic() - startedAt),
+    });
+    if (chain instanceof TurnsUnavailable) return refused(storesUnavailable(chain));
+    if (chain.kind === 'absent') return refused(NO_SUCH_TURN);
+    if (fits instanceof TurnsUnavailable) return refused(storesUnavailable(fits));
+    if (!fits) return refused(BUDGET_SPENT);
+    return { kind: 'ready', chain: chain.records };
+  }
+
+  #reserve({ exchange, program, id }: Turn, deadline: number): Promise<boolean> {
+    const { budget, mostTokens } = exchange.head;
+    if (budget === undefined) return Promise.resolve(true);
+    const { turns } = this.#options;
+    return turns.reserve({ program, turn: id, most: mostTokens, budget, deadline });
+  }
+
+  async #ask<Value>(ask: () => Promise<Value>): Promise<Value | TurnsUnavailable> {
+    try {
+      return await ask();
+    } catch (error) {
+      if (error instanceof TurnsUnavailable) return error;
+      throw error;
+    }
+  }
+
+  async #send(turn: Turn, chain: Chain): Promise<void> {
+    const { exchange, route, table } = turn;
+    const output = new EventOutput();
+    let attempt: Attempt | undefined;
+    let placed: Placement | undefined;
+    exchange.response.on('drain', () => attempt?.resume());
+    const outcome = await this.#options.forwarder.forward({
+      exchange,
+      route,
+      table,
+      body: buildBody(chain, turn.input),
+      placement: placementWith(exchange, chain),
+      onAttempt: (started, placement) => {
+        attempt = started;
+        placed = placement;
+      },
+      receiver: {
+        begin: (status, headers) => {
+          exchange.begin(status, headers);
+        },
+        take: (chunk) => {
+          output.push(chunk);
+          return exchange.response.write(chunk);
+        },
+      },
+    });
+    await this.#finish(turn, outcome, output, placed);
+  }
+
+  async #finish(
+    turn: Turn,
+    outcome: ForwardOutcome,
+    output: EventOutput,
+    placed: Placement | undefined,
+  ): Promise<void> {
+    const { exchange } = turn;
+    switch (outcome.kind) {
+      case 'streamed':
+        await this.#complete(turn, output, placed);
+        return;
+      case 'answered':
+        if (outcome.status < 500) this.#release(turn);
+        exchange.answer(outcome.status, outcome.headers, outcome.body);
+        return;
+      case 'gone':
+        exchange.log('gone', { events: output.count });
+        return;
+      case 'refused':
+        if (outcome.isNotRun) this.#release(turn);
+        if (outcome.began) exchange.breakOff(outcome.refusal.message);
+        else exchange.refuse(outcome.refusal);
+    }
+  }
+
+  /** The answer is whole for the caller only once the turn lasts. */
+  async #complete(turn: Turn, output: EventOutput, placed: Placement | undefined): Promise<void> {
+    const { exchange, route, table, id, program, input } = turn;
+    const { clock, turns, metrics } = this.#options;
+    const tokensPerEvent = tokensPerEventOf(table, placed);
+    const tokens = output.count * tokensPerEvent;
+    placed?.state.noteParts(exchange.head.parts.map((part) => part.id));
+    if (route.retentionSeconds !== undefined) {
+      const startedAt = clock.monotonic();
+      try {
+        await turns.record(
+          {
+            id,
+            program,
+            previous: exchange.head.previousTurn,
+            input,
+            output: output.toBuffer(),
+            tokens,
+            endedAt: clock.now(),
+            retentionSeconds: route.retentionSeconds,
+            target: placed?.state.target.id ?? '',
+          },
+          Math.max(exchange.deadline, startedAt + RECORD_MILLISECONDS),
+        );
+      } catch (error) {
+        if (!(error instanceof MartenbayError)) throw error;
+        exchange.breakOff(`the turn could not be kept: ${error.message}`);
+        return;
+      }
+      metrics.observe('turn_kept', clock.monotonic() - startedAt);
+    }
+    if (!exchange.isGone) exchange.response.end();
+    exchange.log(exchange.isGone ? 'gone' : 'answered', { status: 200, events: output.count });
+  }
+
+  #release({ program, id, exchange, route }: Turn): void {
+    const isKept = route.retentionSeconds !== undefined && exchange.head.budget !== undefined;
+    if (isKept) this.#options.turns.release(program, id);
+  }
+}
+
+const READY: Preparation = { kind: 'ready', chain: [] };
+
+const NO_ID = {
+  status: 400,
+  code: 'bad_request',
+  message: 'the request carries no id; give each attempt one of its own',
+} as const;
+
+const NO_SUCH_TURN = {
+  status: 404,
+  code: 'no_such_turn',
+  message: 'the turn that is to be continued does not exist or is kept no longer',
+} as const;
+
+const BUDGET_SPENT = {
+  status: 402,
+  code: 'budget_spent',
+  message: 'the turn does not fit in what is left of the budget; it was not run',
+} as const;
+
+function refused(refusal: Refusal): Preparation {
+  return { kind: 'refused', refusal };
+}
+
+function storesUnavailable(error: TurnsUnavailable): Refusal {
+  return {
+    status: 503,
+    code: 'turns_unavailable',
+    message: `${error.message}; the turn was not run`,
+    retryAfterSeconds: STORES_RETRY_SECONDS,
+  };
+}
+
+/** Inputs and outputs of the chain, oldest first, then the new input. */
+function buildBody(chain: Chain, input: Buffer): Buffer {
+  const parts = chain.flatMap((record) => [record.input, record.output]);
+  return parts.length === 0 ? input : Buffer.concat([...parts, input]);
+}
+
+/** The engine of the last turn holds all of its prompt but the newest part. */
+function placementWith(exchange: Exchange, chain: Chain): PlacementRequest {
+  const last = chain.at(-1);
+  const placement = placementOf(exchange);
+  if (last === undefined) return placement;
+  const newest = exchange.head.parts.at(-1)?.tokens ?? 0;
+  const heldTokens = Math.max(0, placement.promptTokens - newest);
+  return { ...placement, lastTarget: last.target, heldTokens };
+}
+
+function tokensPerEventOf(table: RouteTable, placed: Placement | undefined): number {
+  const service = placed === undefined ? undefined : table.service(placed.state.target.service);
+  return service?.engine?.tokensPerEvent ?? 1;
+}
--- /dev/null
+++ b/src/link/listener.ts
@@ -0,0 +1,97 @@
+import { type Server, type Socket, createServer } from 'node:net';
+import { type Address, type Component, type Logger, messageOf } from '../core';
+import type { CallHandlers, CastHandlers, Contract } from './contract';
+import { type Frame, FrameDecoder, encodeFrame } from './frame';
+import { CHECK_METHOD } from './peer';
+
+export interface LinkListenerOptions<C extends Contract> {
+  readonly address: Address;
+  readonly logger: Logger;
+  readonly calls: readonly CallHandlers<C>[];
+  readonly casts: readonly CastHandlers<C>[];
+}
+
+type AnyCall = (request: unknown) => unknown;
+type AnyCast = (body: unknown) => void;
+
+/** Answers the calls of the system's other processes. */
+export class LinkListener<C extends Contract> implements Component {
+  readonly #options: LinkListenerOptions<C>;
+  readonly #calls: ReadonlyMap<string, AnyCall>;
+  readonly #casts: ReadonlyMap<string, AnyCast>;
+  readonly #sockets = new Set<Socket>();
+  readonly #server: Server;
+
+  constructor(options: LinkListenerOptions<C>) {
+    this.#options = options;
+    const calls = options.calls.flatMap((handlers) => Object.entries(handlers));
+    this.#calls = new Map([[CHECK_METHOD, () => null], ...(calls as [string, AnyCall][])]);
+    const casts = options.casts.flatMap((handlers) => Object.entries(handlers));
+    this.#casts = new Map(casts as [string, AnyCast][]);
+    this.#server = createServer({ noDelay: true }, (socket) => {
+      this.#accept(socket);
+    });
+  }
+
+  start(): Promise<void> {
+    const { host, port } = this.#options.address;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port }, resolve);
+    });
+  }
+
+  stop(): Promise<void> {
+    for (const socket of this.#sockets) socket.destroy();
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  #accept(socket: Socket): void {
+    const decoder = new FrameDecoder();
+    this.#sockets.add(socket);
+    socket.on('data', (chunk) => {
+      try {
+        for (const frame of decoder.push(chunk)) this.#take(socket, frame);
+      } catch (error) {
+        this.#options.logger.warn({ event: 'link-unreadable', error: messageOf(error) });
+        socket.destroy();
+      }
+    });
+    socket.on('error', (error) => {
+      this.#options.logger.debug({ event: 'link-closed', error: error.message });
+    });
+    socket.once('close', () => this.#sockets.delete(socket));
+  }
+
+  #take(socket: Socket, frame: Frame): void {
+    if (frame.kind === 'call') void this.#answer(socket, frame.id, frame.method, frame.body);
+    else if (frame.kind === 'cast') this.#casts.get(frame.method)?.(frame.body);
+  }
+
+  async #answer(socket: Socket, id: number, method: string, body: unknown): Promise<void> {
+    const handler = this.#calls.get(method);
+    if (handler === undefined) {
+      send(socket, { kind: 'failure', id, message: `this process does not serve ${method}` });
+      return;
+    }
+    try {
+      send(socket, { kind: 'answer', id, body: await handler(body) });
+    } catch (error) {
+      this.#options.logger.warn({ event: 'call-failed', method, error: messageOf(error) });
+      send(socket, { kind: 'failure', id, message: messageOf(error) });
+    }
+  }
+}
+
+function send(socket: Socket, frame: Frame): void {
+  if (socket.destroyed) return;
+  const [length, payload] = encodeFrame(frame);
+  socket.cork();
+  socket.write(length);
+  socket.write(payload);
+  socket.uncork();
+}
--- /dev/null
+++ b/src/nodes/gateway-node.ts
@@ -0,0 +1,175 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ClusterClient } from '../cluster';
+import {
+  type Issue,
+  LifeCycle,
+  type Logger,
+  delay,
+  formatIssue,
+  parseAddress,
+} from '../core';
+import { Forwarder, GatewayServer, TurnHandler, type Wire } from '../gateway';
+import { type RouteConfiguration, RouteTable } from '../routes';
+import {
+  EnginePlacer,
+  LoadExchange,
+  SlotPlacer,
+  TargetConnections,
+  TargetDirectory,
+  type TargetSource,
+} from '../targets';
+import { ChainCache, TurnClient } from '../turns';
+import { HttpEndpoint } from './http-endpoint';
+import { NodeParts, type NodePartsOptions } from './node';
+import type { NodeSettings } from './settings';
+
+/** Bytes of whole turns that a gateway keeps in memory, so that it need not fetch them. */
+const CHAIN_CACHE_BYTES = 24 * 1024 * 1024;
+
+/** Time after the signal to stop in which new callers may still come; the platform looks once a second. */
+const LEAVING_MILLISECONDS = 3000;
+
+/** Part of the time to stop that is left for closing; milliseconds. */
+const CLOSING_MILLISECONDS = 700;
+
+/** Result of reading a configuration's text. */
+export type ParsedConfiguration =
+  | { readonly kind: 'valid'; readonly configuration: RouteConfiguration }
+  | { readonly kind: 'invalid'; readonly issues: readonly Issue[] };
+
+/** What a platform brings: how it writes what the product understands. */
+export interface PlatformAdapter {
+  readonly wire: Wire;
+  parseConfiguration(text: string): ParsedConfiguration;
+  createTargetSource(settings: NodeSettings, logger: Logger): TargetSource;
+  /** Answers the operators' calls. */
+  createOperatorHandler(
+    client: ClusterClient,
+    logger: Logger,
+  ): (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+}
+
+export interface GatewayNodeOptions extends Omit<NodePartsOptions, 'kind'> {
+  readonly platform: PlatformAdapter;
+}
+
+/** A gateway with what is needed to stop it in time. */
+export interface GatewayNode {
+  readonly parts: NodeParts;
+  readonly lifeCycle: LifeCycle;
+  /** Finishes the requests under way before the process stops. */
+  leave(): Promise<void>;
+}
+
+/** A process that takes callers' requests; on a host with a disk it keeps the cluster's state. */
+export function createGatewayNode(options: GatewayNodeOptions): GatewayNode {
+  const { platform, settings } = options;
+  const parts = new NodeParts({ ...options, kind: 'gateway' });
+  const { clock, random, logger, metrics, view, configuration, peers, directory } = parts;
+  const keepsClusterState = settings.node['data-folder'] !== undefined;
+  const self = parts.describe(keepsClusterState, '');
+  const status = () => ({
+    configurationVersion: configuration.number,
+    viewEpoch: view.number,
+    completeFor: 0,
+  });
+  const greeter = parts.createGreeter(self, status);
+  const founding = parts.createFounding(self);
+  const keeper = keepsClusterState ? parts.createKeeper(self, founding) : undefined;
+  const service = parts.createService(self, { status, greeter, founding, keeper });
+  const client = parts.createClient(self, greeter, service);
+
+  const source = platform.createTargetSource(settings, logger);
+  const targets = new TargetDirectory({ source, clock, random, logger, metrics });
+  const connections = new TargetConnections(logger, metrics);
+  targets.onLeaving((state) => {
+    connections.forget(state);
+  });
+  const loads = new LoadExchange({ self, directory, targets, peers, clock });
+  const { 'availability-zone': availabilityZone } = settings.node;
+  const forwarder = new Forwarder({
+    wire: platform.wire,
+    targets,
+    connections,
+    enginePlacer: new EnginePlacer(availabilityZone),
+    slotPlacer: new SlotPlacer(availabilityZone),
+    clock,
+    random,
+    logger,
+    metrics,
+  });
+  const cache = new ChainCache(CHAIN_CACHE_BYTES);
+  const turns = new TurnClient({ availabilityZone, view, cache, peers, clock, logger, metrics });
+  const turnHandler = new TurnHandler({ forwarder, turns, clock, logger, metrics });
+  let table: RouteTable | undefined;
+  const server = new GatewayServer({
+    address: parseAddress(settings.listen.callers ?? ''),
+    wire: platform.wire,
+    forwarder,
+    turnHandler,
+    routes: () => table,
+    clock,
+    logger,
+    metrics,
+  });
+  configuration.onChange(({ version, text }) => {
+    const parsed = platform.parseConfiguration(text);
+    if (parsed.kind === 'invalid') {
+      const issues = parsed.issues.map(formatIssue);
+      logger.error({ event: 'configuration-unreadable', version, issues });
+      return;
+    }
+    table = new RouteTable(parsed.configuration);
+    server.limit(parsed.configuration.limits);
+  });
+
+  let leaving = false;
+  const isReady = () => !leaving && table !== undefined && targets.isLoaded;
+  const lifeCycle = new LifeCycle();
+  lifeCycle.add('log', parts.logOutput);
+  lifeCycle.add('peers', peers);
+  lifeCycle.add('connections', connections);
+  if (keeper !== undefined) lifeCycle.add('cluster-state', keeper.member);
+  lifeCycle.add(
+    'listener',
+    parts.createListener([service.calls], [service.casts, loads.casts]),
+  );
+  lifeCycle.add('cluster-service', service);
+  lifeCycle.add('greeter', greeter);
+  if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
+  lifeCycle.add('targets', targets);
+  lifeCycle.add('loads', loads);
+  addEndpoint(parts, lifeCycle, settings.listen.readiness, (_request, response) => {
+    response.statusCode = isReady() ? 200 : 503;
+    response.end();
+  });
+  const operators = platform.createOperatorHandler(client, logger);
+  addEndpoint(parts, lifeCycle, settings.listen.operators, operators);
+  lifeCycle.add('gateway', server);
+  parts.addMetrics(lifeCycle);
+
+  return {
+    parts,
+    lifeCycle,
+    leave: async () => {
+      leaving = true;
+      server.beginClosing();
+      const handedOver = keeper?.member.handOver();
+      const total = settings.node['stop-seconds'] * 1000 - CLOSING_MILLISECONDS;
+      const stay = Math.min(LEAVING_MILLISECONDS, total / 2);
+      await delay(clock, stay);
+      await Promise.race([server.idle(), delay(clock, total - stay)]);
+      await handedOver;
+    },
+  };
+}
+
+function addEndpoint(
+  { logger }: NodeParts,
+  lifeCycle: LifeCycle,
+  address: string | undefined,
+  handle: (request: IncomingMessage, response: ServerResponse) => void | Promise<void>,
+): void {
+  if (address === undefined) return;
+  lifeCycle.add(`endpoint ${address}`, new HttpEndpoint({ address, logger, handle }));
+}
--- /dev/null
+++ b/src/nodes/node.ts
@@ -0,0 +1,182 @@
+import { join } from 'node:path';
+import {
+  type Clock,
+  LifeCycle,
+  type Logger,
+  Metrics,
+  type RandomSource,
+  createLogger,
+  formatAddress,
+  parseAddress,
+} from '../core';
+import {
+  ClusterClient,
+  ClusterMember,
+  ClusterService,
+  Founding,
+  Greeter,
+  type KeeperParts,
+  Newest,
+  NodeDirectory,
+  type NodeInfo,
+  type NodeKind,
+  type NodeStatus,
+  type StoreView,
+  type VersionedConfiguration,
+  ViewKeeper,
+} from '../cluster';
+import { LatencyHistograms } from '../core/latency';
+import { type CallHandlers, type CastHandlers, LinkListener, Peers } from '../link';
+import { NodeFileSystem, QuarantiningStore, type RecordStore } from '../storage';
+import type { SystemContract } from './contract';
+import { HttpEndpoint, answerMetrics } from './http-endpoint';
+import { LogOutput } from './log-output';
+import type { NodeSettings } from './settings';
+
+/** Random bytes that name one run of a process. */
+const RUN_BYTES = 8;
+
+export interface NodePartsOptions {
+  readonly kind: NodeKind;
+  readonly settings: NodeSettings;
+  /** The newest settings, which may name other seeds than the first ones. */
+  readonly currentSettings: () => NodeSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** What every process of the system has: logs, metrics, connections and what it knows of others. */
+export class NodeParts {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics = new Metrics(new LatencyHistograms());
+  readonly logOutput: LogOutput;
+  readonly logger: Logger;
+  readonly peers: Peers<SystemContract>;
+  readonly directory: NodeDirectory;
+  readonly configuration = new Newest<VersionedConfiguration>(({ version }) => version);
+  readonly view = new Newest<StoreView>(({ epoch }) => epoch);
+  readonly #options: NodePartsOptions;
+
+  constructor(options: NodePartsOptions) {
+    this.#options = options;
+    const { settings, clock, random, kind } = options;
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.logOutput = new LogOutput(clock, this.metrics);
+    this.logger = createLogger({
+      role: kind,
+      host: settings.node.name,
+      level: settings.node['log-level'],
+      stream: this.logOutput.stream,
+    });
+    this.peers = new Peers<SystemContract>({ clock, logger: this.logger });
+    this.directory = new NodeDirectory(clock);
+  }
+
+  /** Addresses of the seeds' connections with other processes; their port is the same everywhere. */
+  readonly seeds = (): readonly string[] => {
+    const { port } = parseAddress(this.settings.node.address);
+    return this.#options
+      .currentSettings()
+      .node.seeds.map((seed) => formatAddress({ host: parseAddress(seed).host, port }));
+  };
+
+  describe(keepsClusterState: boolean, dataLife: string): NodeInfo {
+    const { node, listen } = this.settings;
+    return {
+      name: node.name,
+      kind: this.#options.kind,
+      address: node.address,
+      operatorAddress: listen.operators ?? '',
+      availabilityZone: node['availability-zone'],
+      keepsClusterState,
+      run: this.random.hex(RUN_BYTES),
+      dataLife,
+    };
+  }
+
+  /** A store of records in a folder of its own. */
+  openStore(name: string): RecordStore {
+    const { settings, logger } = this;
+    return new QuarantiningStore({
+      folder: join(settings.node['data-folder'] ?? '', name),
+      fileSystem: new NodeFileSystem({ synchronousWrites: false }),
+      mayQuarantine: true,
+      onQuarantine: (error, movedTo) => {
+        logger.error({ event: 'storage-quarantined', store: name, error: error.message, movedTo });
+      },
+      onTornTail: (file, bytes) => {
+        logger.warn({ event: 'torn-tail-cut', file, bytes });
+      },
+    });
+  }
+
+  createGreeter(self: NodeInfo, status: () => NodeStatus): Greeter {
+    return new Greeter({ ...this.#shared, self, status, seeds: this.seeds });
+  }
+
+  createFounding(self: NodeInfo): Founding {
+    return new Founding({
+      ...this.#shared,
+      self: self.name,
+      address: self.address,
+      isFirstStart: this.settings.node['first-start'],
+      seeds: this.seeds,
+    });
+  }
+
+  /** This host's copy of the cluster's state. */
+  createKeeper(self: NodeInfo, founding: Founding): KeeperParts {
+    const toleratedLosses = this.settings.node['tolerated-losses'];
+    const member = new ClusterMember({
+      ...this.#shared,
+      self,
+      toleratedLosses,
+      founding,
+      store: this.openStore('cluster'),
+      random: this.random,
+    });
+    const viewKeeper = new ViewKeeper({ ...this.#shared, member, toleratedLosses });
+    return { member, viewKeeper };
+  }
+
+  createService(
+    self: NodeInfo,
+    parts: {
+      readonly status: () => NodeStatus;
+      readonly greeter: Greeter;
+      readonly founding: Founding;
+      readonly keeper: KeeperParts | undefined;
+    },
+  ): ClusterService {
+    return new ClusterService({ ...this.#shared, self, ...parts });
+  }
+
+  createClient(self: NodeInfo, greeter: Greeter, service: ClusterService): ClusterClient {
+    const { local } = service;
+    return new ClusterClient({ ...this.#shared, selfAddress: self.address, greeter, local });
+  }
+
+  createListener(
+    calls: readonly CallHandlers<SystemContract>[],
+    casts: readonly CastHandlers<SystemContract>[],
+  ): LinkListener<SystemContract> {
+    const address = parseAddress(this.settings.node.address);
+    return new LinkListener<SystemContract>({ address, logger: this.logger, calls, casts });
+  }
+
+  addMetrics(lifeCycle: LifeCycle): void {
+    const { metrics: address } = this.settings.listen;
+    if (address === undefined) return;
+    const handle = answerMetrics(() => this.metrics.render());
+    lifeCycle.add('metrics', new HttpEndpoint({ address, logger: this.logger, handle }));
+  }
+
+  get #shared() {
+    const { directory, peers, clock, logger, configuration, view } = this;
+    return { directory, peers, clock, logger, configuration, view };
+  }
+}
--- /dev/null
+++ b/src/nodes/store-node.ts
@@ -0,0 +1,36 @@
+import { LifeCycle } from '../core';
+import { Filler, TurnJournal, TurnStore } from '../turns';
+import { NodeParts, type NodePartsOptions } from './node';
+
+/** A process that keeps turns and budgets on its host's disk. */
+export async function createStoreNode(
+  options: Omit<NodePartsOptions, 'kind'>,
+): Promise<{ readonly parts: NodeParts; readonly lifeCycle: LifeCycle }> {
+  const parts = new NodeParts({ ...options, kind: 'store' });
+  const { clock, random, logger, metrics, view, configuration, peers } = parts;
+  const journal = new TurnJournal(parts.openStore('turns'), random);
+  await journal.open();
+  const self = parts.describe(false, journal.dataLife);
+  const filler = new Filler({ self: self.name, journal, peers, clock, random, logger });
+  const store = new TurnStore({ self: self.name, journal, filler, view, clock, logger, metrics });
+  const status = () => ({
+    configurationVersion: configuration.number,
+    viewEpoch: view.number,
+    completeFor: journal.completeFor,
+  });
+  const greeter = parts.createGreeter(self, status);
+  const founding = parts.createFounding(self);
+  const service = parts.createService(self, { status, greeter, founding, keeper: undefined });
+  metrics.gauge('turns', () => journal.table.turnCount);
+  const lifeCycle = new LifeCycle();
+  lifeCycle.add('log', parts.logOutput);
+  lifeCycle.add('peers', parts.peers);
+  lifeCycle.add('store', store);
+  lifeCycle.add(
+    'listener',
+    parts.createListener([service.calls, store.calls], [service.casts, store.casts]),
+  );
+  lifeCycle.add('greeter', greeter);
+  parts.addMetrics(lifeCycle);
+  return { parts, lifeCycle };
+}
--- a/src/storage/file-system.ts
+++ b/src/storage/file-system.ts
@@ -30,8 +30,22 @@
   syncFolder(folder: string): Promise<void>;
 }
 
+export interface NodeFileSystemOptions {
+  /**
+   * Whether files are opened so that each write lasts by itself (O_DSYNC), which saves a call.
+   * Where that is not known to be honoured, each write is followed by `fdatasync`.
+   */
+  readonly synchronousWrites?: boolean;
+}
+
 /** The machine's disk. */
 export class NodeFileSystem implements FileSystem {
+  readonly #synchronousWrites: boolean;
+
+  constructor({ synchronousWrites = true }: NodeFileSystemOptions = {}) {
+    this.#synchronousWrites = synchronousWrites;
+  }
+
   async ensureFolder(folder: string): Promise<void> {
     const first = await mkdir(folder, { recursive: true });
     if (first === undefined) return;
@@ -63,15 +77,21 @@
   }
 
   async createSynchronous(file: string): Promise<AppendFile> {
-    const { O_WRONLY, O_CREAT, O_TRUNC, O_DSYNC } = constants;
-    return new NodeAppendFile(await open(file, O_WRONLY | O_CREAT | O_TRUNC | O_DSYNC), true);
+    const { O_WRONLY, O_CREAT, O_TRUNC } = constants;
+    const handle = await open(file, O_WRONLY | O_CREAT | O_TRUNC | this.#synchronousFlag);
+    return new NodeAppendFile(handle, this.#synchronousWrites);
   }
 
   async openAt(file: string, length: number): Promise<AppendFile> {
-    const handle = await open(file, constants.O_WRONLY | constants.O_APPEND | constants.O_DSYNC);
+    const { O_WRONLY, O_APPEND } = constants;
+    const handle = await open(file, O_WRONLY | O_APPEND | this.#synchronousFlag);
     await handle.truncate(length);
     await handle.sync();
-    return new NodeAppendFile(handle, true);
+    return new NodeAppendFile(handle, this.#synchronousWrites);
+  }
+
+  get #synchronousFlag(): number {
+    return this.#synchronousWrites ? constants.O_DSYNC : 0;
   }
 
   rename(from: string, to: string): Promise<void> {
--- /dev/null
+++ b/src/targets/directory.ts
@@ -0,0 +1,127 @@
+import {
+  type Clock,
+  type Component,
+  type Logger,
+  type Metrics,
+  type RandomSource,
+  delay,
+  messageOf,
+} from '../core';
+import { TargetState } from './state';
+import type { ListedTarget, TargetSource } from './target';
+
+/** Pause between two readings of the list; a leaving target must be known within 3 s. */
+const READ_MILLISECONDS = 1000;
+
+/** Pause after a reading that failed; milliseconds. */
+const RETRY_MILLISECONDS = 250;
+
+export interface TargetDirectoryOptions {
+  readonly source: TargetSource;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** The targets that the platform lists, with what this process knows of each. */
+export class TargetDirectory implements Component {
+  readonly #options: TargetDirectoryOptions;
+  readonly #targets = new Map<string, TargetState>();
+  readonly #removalListeners: ((state: TargetState) => void)[] = [];
+  #stopped = false;
+  #loaded = false;
+  #reading = true;
+
+  constructor(options: TargetDirectoryOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Whether the list was read at least once. */
+  get isLoaded(): boolean {
+    return this.#loaded;
+  }
+
+  /** Targets of a service that take new work, those that failed lately included. */
+  ofService(service: string): readonly TargetState[] {
+    return [...this.#targets.values()].filter(
+      ({ target }) => target.service === service && !target.draining,
+    );
+  }
+
+  get(id: string): TargetState | undefined {
+    return this.#targets.get(id);
+  }
+
+  all(): Iterable<TargetState> {
+    return this.#targets.values();
+  }
+
+  /** Told of each target that is listed no more or begins to leave. */
+  onLeaving(listener: (state: TargetState) => void): void {
+    this.#removalListeners.push(listener);
+  }
+
+  /** Takes a whole list. */
+  take(list: readonly ListedTarget[]): void {
+    const { clock, logger } = this.#options;
+    this.#loaded = true;
+    const ids = new Set(list.map(({ id }) => id));
+    for (const [id, state] of this.#targets) {
+      if (ids.has(id)) continue;
+      this.#targets.delete(id);
+      logger.info({ event: 'target-gone', target: id, address: state.target.address });
+      this.#tellLeaving(state);
+    }
+    for (const target of list) {
+      const state = this.#targets.get(target.id);
+      if (state === undefined) {
+        this.#targets.set(target.id, new TargetState(target, clock));
+        const { id, service, address, draining } = target;
+        logger.info({ event: 'target-listed', target: id, service, address, draining });
+        continue;
+      }
+      const leaves = target.draining && !state.target.draining;
+      state.target = target;
+      if (!leaves) continue;
+      logger.info({ event: 'target-draining', target: target.id, address: target.address });
+      this.#tellLeaving(state);
+    }
+  }
+
+  #tellLeaving(state: TargetState): void {
+    for (const listener of this.#removalListeners) listener(state);
+  }
+
+  async #run(): Promise<void> {
+    const { clock, random } = this.#options;
+    while (!this.#stopped) {
+      const read = await this.#read();
+      const pause = read ? READ_MILLISECONDS : RETRY_MILLISECONDS;
+      await delay(clock, pause * (0.9 + 0.2 * random.fraction()));
+    }
+  }
+
+  async #read(): Promise<boolean> {
+    const { source, logger, metrics } = this.#options;
+    metrics.count('target_lists_read_total');
+    try {
+      this.take(await source.list());
+      if (!this.#reading) logger.info({ event: 'target-list-regained' });
+      this.#reading = true;
+      return true;
+    } catch (error) {
+      if (this.#reading) logger.warn({ event: 'target-list-lost', error: messageOf(error) });
+      this.#reading = false;
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/turns/client.ts
@@ -0,0 +1,229 @@
+import type { Newest, StoreView, ViewMember } from '../cluster';
+import { type Clock, type Logger, type Metrics, delay, messageOf } from '../core';
+import type { Caller } from '../link';
+import type { ChainCache } from './chain-cache';
+import type { ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
+import { TurnsUnavailable } from './errors';
+import { type Round, askMembers } from './quorum';
+import type { Reservation, TurnRecord } from './records';
+
+/** Longest wait for one store; a sync takes 1 ms, a disk may stall for seconds. Milliseconds. */
+const ANSWER_MILLISECONDS = 500;
+
+/** Longest wait for all stores once a quorum has answered; twice a round trip. Milliseconds. */
+const GRACE_MILLISECONDS = 12;
+
+/** Pause before stores are asked again; milliseconds. */
+const RETRY_MILLISECONDS = 40;
+
+export interface TurnClientOptions {
+  readonly availabilityZone: string;
+  readonly view: Newest<StoreView>;
+  readonly cache: ChainCache;
+  readonly peers: Caller<TurnContract>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+export interface ReserveOptions {
+  readonly program: string;
+  readonly turn: string;
+  /** Tokens that the turn may generate at most. */
+  readonly most: number;
+  /** Tokens that all turns of the program may generate together. */
+  readonly budget: number;
+  /** Monotonic time after which the answer is of no use. */
+  readonly deadline: number;
+}
+
+/** The chain that a turn continues, oldest turn first; or that there is no such turn. */
+export type ChainLookup =
+  | { readonly kind: 'found'; readonly records: readonly TurnRecord[] }
+  | { readonly kind: 'absent' };
+
+type Reply<Answer> = Answer | ViewMismatch;
+
+/** Reads and writes turns and budgets at a quorum of the stores in use. */
+export class TurnClient {
+  readonly #options: TurnClientOptions;
+
+  constructor(options: TurnClientOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Reserves a turn's tokens; resolves with whether they fit in the budget. When every store has
+   * answered, the last reserver has seen all others. Otherwise a second round is needed: it begins
+   * after the reservation stands at a quorum, so of two reservers one sees the other.
+   */
+  async reserve(options: ReserveOptions): Promise<boolean> {
+    const { program, turn, most, deadline } = options;
+    const first = await this.#atQuorum<ReservationsAnswer>({
+      deadline,
+      graceMilliseconds: GRACE_MILLISECONDS,
+      counts: () => true,
+      ask: (view, { address }) =>
+        this.#call(address, 'turns.reserve', { epoch: view.epoch, program, turn, most }),
+    });
+    const unanimous = first.all && first.answers.every((answer) => answer.complete);
+    if (unanimous) return this.#fits(first.answers, options);
+    this.#options.metrics.count('reservations_in_two_rounds_total');
+    const second = await this.#atQuorum<ReservationsAnswer>({
+      deadline,
+      graceMilliseconds: 0,
+      counts: (answer) => answer.complete,
+      ask: (view, { address }) =>
+        this.#call(address, 'turns.reservations', { epoch: view.epoch, program }),
+    });
+    return this.#fits([...first.answers, ...second.answers], options);
+  }
+
+  /** Gives a reservation back: the turn was not run. */
+  release(program: string, turn: string): void {
+    const { view, peers } = this.#options;
+    for (const { address } of view.value?.members ?? []) {
+      peers.cast(address, 'turns.release', { program, turn });
+    }
+  }
+
+  /** Resolves once a whole turn lasts at a quorum. */
+  async record(record: TurnRecord, deadline: number): Promise<void> {
+    await this.#atQuorum<{ readonly kind: 'kept' }>({
+      deadline,
+      graceMilliseconds: 0,
+      counts: () => true,
+      ask: (view, { address }) =>
+        this.#call(address, 'turns.record', { epoch: view.epoch, record }),
+    });
+    this.#options.cache.add(record);
+  }
+
+  /** Finds a turn and all that it continues; rejects where that can't be told for certain. */
+  async chain(turn: string, deadline: number): Promise<ChainLookup> {
+    const records: TurnRecord[] = [];
+    for (let id: string | undefined = turn; id !== undefined; ) {
+      const cached = this.#options.cache.get(id);
+      const fetched: readonly TurnRecord[] =
+        cached === undefined ? await this.#fetch(id, deadline) : [cached];
+      if (fetched.length === 0) {
+        if (id === turn) return { kind: 'absent' };
+        throw new TurnsUnavailable(`turn ${id}, which ${turn} continues, is not found`);
+      }
+      records.unshift(...fetched);
+      id = records[0]?.previous;
+    }
+    return { kind: 'found', records };
+  }
+
+  /** Asks store after store, the nearest first; nothing if a quorum says that it is not there. */
+  async #fetch(id: string, deadline: number): Promise<readonly TurnRecord[]> {
+    const { clock, cache, metrics, logger } = this.#options;
+    metrics.count('chains_fetched_total');
+    while (clock.monotonic() < deadline) {
+      const view = this.#options.view.value;
+      const absentAt = new Set<string>();
+      for (const member of this.#nearestFirst(view)) {
+        if (view === undefined || this.#options.view.value !== view) break;
+        try {
+          const request = { epoch: view.epoch, turn: id };
+          const answer = await this.#call(member.address, 'turns.chain', request);
+          this.#learn(answer);
+          if (answer.kind !== 'chain') continue;
+          for (const record of answer.records) cache.add(record);
+          if (answer.records.length > 0) return answer.records;
+          if (answer.complete) absentAt.add(member.name);
+          if (absentAt.size >= view.quorum) return [];
+        } catch (error) {
+          const details = { turn: id, store: member.name, error: messageOf(error) };
+          logger.info({ event: 'chain-not-read', ...details });
+        }
+      }
+      await delay(clock, RETRY_MILLISECONDS);
+    }
+    throw new TurnsUnavailable(`too few stores answer for turn ${id}`);
+  }
+
+  #nearestFirst(view: StoreView | undefined): readonly ViewMember[] {
+    const { availabilityZone, peers } = this.#options;
+    const rank = (member: ViewMember) =>
+      (peers.isConnected(member.address) ? 0 : 2) +
+      (member.availabilityZone === availabilityZone ? 0 : 1);
+    return [...(view?.members ?? [])].sort((left, right) => rank(left) - rank(right));
+  }
+
+  /** Asks until a quorum of one and the same view has answered. */
+  async #atQuorum<Answer extends { readonly kind: string }>(options: {
+    readonly deadline: number;
+    readonly graceMilliseconds: number;
+    readonly counts: (answer: Answer) => boolean;
+    readonly ask: (view: StoreView, member: ViewMember) => Promise<Reply<Answer>>;
+  }): Promise<{ readonly answers: readonly Answer[]; readonly all: boolean }> {
+    const { clock, view: newest, logger } = this.#options;
+    let reason = 'no stores are known';
+    for (;;) {
+      const view = newest.value;
+      if (view !== undefined) {
+        const round = await askMembers<Reply<Answer>>({
+          view,
+          clock,
+          graceMilliseconds: options.graceMilliseconds,
+          ask: (member) => options.ask(view, member),
+          isEnough: (answers) =>
+            accepted<Answer>(answers).filter(options.counts).length >= view.quorum,
+          describeFailure: messageOf,
+        });
+        for (const answer of round.answers) this.#learn(answer);
+        const answers = accepted<Answer>(round.answers);
+        if (answers.filter(options.counts).length >= view.quorum) {
+          return { answers, all: answers.length === view.members.length };
+        }
+        reason = describe(round);
+        logger.info({ event: 'quorum-missed', epoch: view.epoch, reason });
+      }
+      if (clock.monotonic() + RETRY_MILLISECONDS >= options.deadline) {
+        throw new TurnsUnavailable(`too few stores answer: ${reason}`);
+      }
+      await delay(clock, RETRY_MILLISECONDS);
+    }
+  }
+
+  #call<Name extends keyof TurnContract['calls']>(
+    address: string,
+    name: Name,
+    request: TurnContract['calls'][Name]['request'],
+  ): Promise<TurnContract['calls'][Name]['answer']> {
+    return this.#options.peers.call(address, name, request, ANSWER_MILLISECONDS);
+  }
+
+  #learn(answer: { readonly kind: string } | ViewMismatch): void {
+    if (answer.kind === 'stale' && 'view' in answer) this.#options.view.offer(answer.view);
+  }
+
+  #fits(answers: readonly ReservationsAnswer[], { turn, most, budget }: ReserveOptions): boolean {
+    const others = new Map<string, Reservation>();
+    for (const { reservations } of answers) {
+      for (const reservation of reservations) {
+        if (reservation.turn === turn) continue;
+        const present = others.get(reservation.turn);
+        if (present?.settled !== true) others.set(reservation.turn, reservation);
+      }
+    }
+    let taken = 0;
+    for (const { tokens } of others.values()) taken += tokens;
+    return taken + most <= budget;
+  }
+}
+
+function accepted<Answer extends { readonly kind: string }>(
+  answers: readonly Reply<Answer>[],
+): readonly Answer[] {
+  return answers.filter(
+    (answer): answer is Answer => answer.kind !== 'stale' && answer.kind !== 'behind',
+  );
+}
+
+function describe<Answer extends { readonly kind: string }>(round: Round<Answer>): string {
+  const kinds = round.answers.map(({ kind }) => kind).join(', ');
+  return [kinds, ...round.failures].filter((part) => part !== '').join('; ');
+}
--- /dev/null
+++ b/src/turns/journal.ts
@@ -0,0 +1,136 @@
+import * as z from 'zod';
+import type { StoreView } from '../cluster';
+import type { RandomSource } from '../core';
+import type { RecordStore } from '../storage';
+import { type TurnRow, decodeRow, encodeRow } from './records';
+import { TurnTable } from './table';
+
+/** Bytes of rows after which a snapshot takes their place. */
+const COMPACT_CHARACTERS = 48 * 1024 * 1024;
+
+const LIFE_BYTES = 8;
+
+const viewSchema = z.object({
+  epoch: z.int(),
+  quorum: z.int(),
+  members: z
+    .array(
+      z.object({
+        name: z.string(),
+        address: z.string(),
+        availabilityZone: z.string(),
+        dataLife: z.string(),
+        joined: z.int(),
+      }),
+    )
+    .readonly(),
+});
+
+const ownSchema = z.tuple([
+  z.literal('own'),
+  z.object({ dataLife: z.string(), completeFor: z.int(), view: viewSchema.optional() }),
+]);
+
+/** What a store keeps about itself. */
+interface OwnState {
+  /** Drawn when the data folder was first used. */
+  readonly dataLife: string;
+  /** Epoch at which the store joined the view for which it holds everything; 0 for none. */
+  readonly completeFor: number;
+  /** The newest view that the store has served. */
+  readonly view?: StoreView | undefined;
+}
+
+/** The durable state of one store: turns and budgets, and what it knows of its own part. */
+export class TurnJournal {
+  readonly #store: RecordStore;
+  readonly #random: RandomSource;
+  readonly table = new TurnTable();
+  #own: OwnState = { dataLife: '', completeFor: 0 };
+  #characters = 0;
+  #compacting = false;
+
+  constructor(store: RecordStore, random: RandomSource) {
+    this.#store = store;
+    this.#random = random;
+  }
+
+  async open(): Promise<void> {
+    const { snapshot = [], records } = await this.#store.load();
+    for (const text of [...snapshot, ...records]) this.#restore(text);
+    if (this.#own.dataLife !== '') return;
+    await this.#keepOwn({ ...this.#own, dataLife: this.#random.hex(LIFE_BYTES) });
+  }
+
+  close(): Promise<void> {
+    return this.#store.close();
+  }
+
+  get dataLife(): string {
+    return this.#own.dataLife;
+  }
+
+  get completeFor(): number {
+    return this.#own.completeFor;
+  }
+
+  get view(): StoreView | undefined {
+    return this.#own.view;
+  }
+
+  /** Resolves once the view lasts; it is in force in memory at once. */
+  keepView(view: StoreView): Promise<void> {
+    return this.#keepOwn({ ...this.#own, view });
+  }
+
+  keepComplete(completeFor: number): Promise<void> {
+    return this.#keepOwn({ ...this.#own, completeFor });
+  }
+
+  /** Adds rows; they are seen at once and last when the promise resolves. */
+  add(rows: readonly TurnRow[]): Promise<void> {
+    const lines: string[] = [];
+    for (const row of rows) {
+      if (this.table.apply(row)) lines.push(encodeRow(row));
+    }
+    return this.#append(lines);
+  }
+
+  async #keepOwn(own: OwnState): Promise<void> {
+    this.#own = own;
+    await this.#append([JSON.stringify(['own', own])]);
+  }
+
+  async #append(lines: readonly string[]): Promise<void> {
+    for (const line of lines) this.#characters += line.length;
+    // An empty append waits for those before it, which may hold the same row.
+    await this.#store.append(lines.length > 0 ? lines : [EMPTY_LINE]);
+    if (this.#characters > COMPACT_CHARACTERS && !this.#compacting) await this.#compact();
+  }
+
+  async #compact(): Promise<void> {
+    this.#compacting = true;
+    this.#characters = 0;
+    try {
+      const snapshot = this.#snapshot();
+      await this.#store.compact({ snapshot, records: [], exclusive: false });
+    } finally {
+      this.#compacting = false;
+    }
+  }
+
+  *#snapshot(): Generator<string> {
+    yield JSON.stringify(['own', this.#own]);
+    for (const row of this.table.rows()) yield encodeRow(row);
+  }
+
+  #restore(text: string): void {
+    const value: unknown = JSON.parse(text);
+    const own = ownSchema.safeParse(value);
+    if (own.success) this.#own = own.data[1];
+    else if (text !== EMPTY_LINE) this.table.apply(decodeRow(value));
+  }
+}
+
+/** Stands for nothing, so that an append can wait for those before it. */
+const EMPTY_LINE = '["none"]';
--- /dev/null
+++ b/src/turns/records.ts
@@ -0,0 +1,105 @@
+import * as z from 'zod';
+
+/** One whole turn: what the caller sent and what the engine answered. */
+export interface TurnRecord {
+  readonly id: string;
+  readonly program: string;
+  /** The turn that this one continues; nothing at the start of a chain. */
+  readonly previous: string | undefined;
+  readonly input: Buffer;
+  /** The data of each event, each with a line feed after it. */
+  readonly output: Buffer;
+  /** Tokens that were generated. */
+  readonly tokens: number;
+  /** Wall time of its end, milliseconds since the Unix epoch. */
+  readonly endedAt: number;
+  /** Seconds for which it and its chain are to be kept. */
+  readonly retentionSeconds: number;
+  /** Identity of the engine that holds its cache. */
+  readonly target: string;
+}
+
+/** What a turn takes of its program's budget. */
+export interface Reservation {
+  readonly turn: string;
+  /** Tokens: the most it may generate until it is settled, then what it did. */
+  readonly tokens: number;
+  readonly settled: boolean;
+}
+
+/** One thing that a store keeps, in the order in which it was taken. */
+export type TurnRow =
+  | { readonly kind: 'turn'; readonly record: TurnRecord }
+  | {
+      readonly kind: 'budget';
+      readonly program: string;
+      readonly reservations: readonly Reservation[];
+      /** Wall time of the last change, milliseconds since the Unix epoch. */
+      readonly changedAt: number;
+    };
+
+const turnSchema = z.tuple([
+  z.literal('turn'),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.string(),
+  z.string(),
+  z.string(),
+]);
+
+const budgetSchema = z.tuple([
+  z.literal('budget'),
+  z.string(),
+  z.number(),
+  z.array(z.tuple([z.string(), z.number(), z.boolean()])),
+]);
+
+const rowSchema = z.union([turnSchema, budgetSchema]);
+
+/** Renders a row as one line; bytes become one character each. */
+export function encodeRow(row: TurnRow): string {
+  if (row.kind === 'budget') {
+    const entries = row.reservations.map(({ turn, tokens, settled }) => [turn, tokens, settled]);
+    return JSON.stringify(['budget', row.program, row.changedAt, entries]);
+  }
+  const { record } = row;
+  return JSON.stringify([
+    'turn',
+    record.id,
+    record.program,
+    record.previous ?? '',
+    record.tokens,
+    record.endedAt,
+    record.retentionSeconds,
+    record.target,
+    record.input.toString('latin1'),
+    record.output.toString('latin1'),
+  ]);
+}
+
+/** Reads a line that {@link encodeRow} wrote. */
+export function decodeRow(value: unknown): TurnRow {
+  const row = rowSchema.parse(value);
+  if (row[0] === 'budget') {
+    const [, program, changedAt, entries] = row;
+    const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
+    return { kind: 'budget', program, changedAt, reservations };
+  }
+  const [, id, program, previous, tokens, endedAt, retentionSeconds, target, input, output] = row;
+  const record = {
+    id,
+    program,
+    previous: previous === '' ? undefined : previous,
+    input: Buffer.from(input, 'latin1'),
+    output: Buffer.from(output, 'latin1'),
+    tokens,
+    endedAt,
+    retentionSeconds,
+    target,
+  };
+  return { kind: 'turn', record };
+}
--- /dev/null
+++ b/src/turns/store.ts
@@ -0,0 +1,185 @@
+import type { Newest, StoreView } from '../cluster';
+import { type Clock, type Component, type Logger, type Metrics, PeriodicTask, messageOf } from '../core';
+import type { CallHandlers, CastHandlers } from '../link';
+import type {
+  ChainAnswer,
+  ChainRequest,
+  PullAnswer,
+  PullRequest,
+  RecordRequest,
+  ReservationsAnswer,
+  ReserveRequest,
+  TurnContract,
+  ViewMismatch,
+} from './contract';
+import type { Filler } from './filler';
+import type { TurnJournal } from './journal';
+import { PullSessions } from './pull-sessions';
+
+/** Pause between sweeps of what has expired; milliseconds. */
+const EXPIRE_MILLISECONDS = 10_000;
+
+export interface TurnStoreOptions {
+  /** Name of this host. */
+  readonly self: string;
+  readonly journal: TurnJournal;
+  readonly filler: Filler;
+  readonly view: Newest<StoreView>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Keeps turns and budgets on one host, in the views that it is a member of. */
+export class TurnStore implements Component {
+  readonly #options: TurnStoreOptions;
+  readonly #pulls: PullSessions;
+  readonly #expiry: PeriodicTask;
+  #view: StoreView | undefined;
+  #adopting: Promise<void> = Promise.resolve();
+
+  constructor(options: TurnStoreOptions) {
+    this.#options = options;
+    const { journal, clock, view } = options;
+    this.#pulls = new PullSessions(journal.table, clock);
+    this.#expiry = new PeriodicTask(clock, EXPIRE_MILLISECONDS, () => {
+      this.#expire();
+    });
+    view.onChange((value) => {
+      this.#adopt(value);
+    });
+  }
+
+  /** The journal must be open. */
+  start(): void {
+    const { journal, view } = this.#options;
+    if (journal.view !== undefined) view.offer(journal.view);
+    this.#expiry.start();
+  }
+
+  async stop(): Promise<void> {
+    this.#expiry.stop();
+    this.#options.filler.stop();
+    await this.#options.journal.close();
+  }
+
+  get calls(): CallHandlers<TurnContract> {
+    return {
+      'turns.reserve': (request) => this.#reserve(request),
+      'turns.reservations': ({ epoch, program }) =>
+        this.#inView(epoch, () => this.#reservations(program)),
+      'turns.record': (request) => this.#record(request),
+      'turns.chain': (request) => this.#chain(request),
+      'turns.pull': (request) => this.#pull(request),
+    };
+  }
+
+  get casts(): CastHandlers<TurnContract> {
+    return {
+      'turns.release': ({ program, turn }) => {
+        this.#release(program, turn);
+      },
+    };
+  }
+
+  /** From this moment no request of an older view is served; the view lasts before any answer. */
+  #adopt(view: StoreView): void {
+    const { journal, filler, logger } = this.#options;
+    if (view.epoch <= (this.#view?.epoch ?? 0)) return;
+    this.#view = view;
+    const kept = view.epoch === journal.view?.epoch ? Promise.resolve() : journal.keepView(view);
+    this.#adopting = Promise.all([this.#adopting, kept]).then(() => undefined);
+    this.#adopting.catch((error: unknown) => {
+      logger.error({ event: 'view-not-kept', epoch: view.epoch, error: messageOf(error) });
+    });
+    void this.#adopting.then(() => {
+      filler.fill(view);
+    });
+  }
+
+  /** Runs `act` if the asker's view is the present one. */
+  async #inView<Answer>(
+    epoch: number,
+    act: () => Answer | Promise<Answer>,
+  ): Promise<Answer | ViewMismatch> {
+    const view = this.#view;
+    if (view === undefined || view.epoch < epoch) return { kind: 'behind' };
+    if (view.epoch > epoch) return { kind: 'stale', view };
+    if (!this.#isMember(view)) return { kind: 'behind' };
+    await this.#adopting;
+    if (this.#view !== view) return { kind: 'stale', view: this.#view ?? view };
+    return act();
+  }
+
+  #isMember(view: StoreView): boolean {
+    const { self, journal } = this.#options;
+    return view.members.some(
+      ({ name, dataLife }) => name === self && dataLife === journal.dataLife,
+    );
+  }
+
+  get #isComplete(): boolean {
+    const { self, journal } = this.#options;
+    const member = this.#view?.members.find(({ name }) => name === self);
+    return member !== undefined && member.joined === journal.completeFor;
+  }
+
+  #reserve({
+    epoch,
+    program,
+    turn,
+    most,
+  }: ReserveRequest): Promise<ReservationsAnswer | ViewMismatch> {
+    return this.#inView(epoch, async () => {
+      const { journal, clock } = this.#options;
+      const reservations = [{ turn, tokens: most, settled: false }];
+      await journal.add([{ kind: 'budget', program, reservations, changedAt: clock.now() }]);
+      return this.#reservations(program);
+    });
+  }
+
+  #reservations(program: string): ReservationsAnswer {
+    const reservations = this.#options.journal.table.reservations(program);
+    return { kind: 'reservations', complete: this.#isComplete, reservations };
+  }
+
+  #record({ epoch, record }: RecordRequest): Promise<{ readonly kind: 'kept' } | ViewMismatch> {
+    return this.#inView(epoch, async () => {
+      await this.#options.journal.add([{ kind: 'turn', record }]);
+      return { kind: 'kept' } as const;
+    });
+  }
+
+  #release(program: string, turn: string): void {
+    const { journal, clock, logger } = this.#options;
+    const reservations = [{ turn, tokens: 0, settled: true }];
+    journal
+      .add([{ kind: 'budget', program, reservations, changedAt: clock.now() }])
+      .catch((error: unknown) => {
+        logger.warn({ event: 'release-not-kept', program, turn, error: messageOf(error) });
+      });
+  }
+
+  #chain({ epoch, turn }: ChainRequest): Promise<ChainAnswer | ViewMismatch> {
+    return this.#inView(epoch, () => {
+      const { records, missing } = this.#options.journal.table.chain(turn);
+      return { kind: 'chain', complete: this.#isComplete, records, missing } as const;
+    });
+  }
+
+  #pull(request: PullRequest): Promise<PullAnswer | ViewMismatch> {
+    return this.#inView(request.epoch, () => {
+      const { rows, final } = this.#pulls.take(request);
+      return { kind: 'rows', complete: this.#isComplete, rows, final } as const;
+    });
+  }
+
+  #expire(): void {
+    const { journal, clock, logger, metrics } = this.#options;
+    const dropped = journal.table.expire(clock.now());
+    metrics.count('turns_expired_total', dropped);
+    if (dropped > 0) {
+      logger.info({ event: 'turns-expired', dropped, kept: journal.table.turnCount });
+    }
+  }
+}
