A stopping gateway refuses what it could not finish in time

Cause: kept connections went on bringing requests until the process ended 8 s after SIGTERM, so streams of up to 5 s were cut.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,6 +5,7 @@
 
 /** Why the gateway answers a request itself. */
 export type RefusalCode =
+  | 'stopping'
   | 'no_configuration'
   | 'no_route'
   | 'bad_request'
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -33,6 +33,7 @@
   readonly #server: Server;
   readonly #underWay = new Set<Exchange>();
   #closing = false;
+  #refusing = false;
   #onIdle: () => void = () => undefined;
 
   constructor(options: GatewayServerOptions) {
@@ -76,6 +77,13 @@
     this.#closing = true;
   }
 
+  /** From now on new requests are refused, and connections without a request are closed. */
+  refuseNew(): void {
+    this.#refusing = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
   /** Resolves when no request is under way. */
   idle(): Promise<void> {
     if (this.#underWay.size === 0) return Promise.resolve();
@@ -109,6 +117,10 @@
 
   async #route(exchange: Exchange): Promise<void> {
     const table = this.#options.routes();
+    if (this.#refusing) {
+      exchange.refuse(STOPPING);
+      return;
+    }
     if (table === undefined) {
       exchange.refuse(NO_CONFIGURATION);
       return;
@@ -134,6 +146,14 @@
   retryAfterSeconds: CONFIGURATION_RETRY_SECONDS,
 };
 
+/** Another process takes the request at once. */
+const STOPPING: Refusal = {
+  status: 503,
+  code: 'stopping',
+  message: 'this process is stopping; the request was not run',
+  retryAfterSeconds: 0,
+};
+
 function noRoute(version: number): Refusal {
   const message = `configuration ${version} has no route for this host and path`;
   return { status: 404, code: 'no_route', message };
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -26,11 +26,14 @@
 /** Bytes of whole turns that a gateway keeps in memory, so that it need not fetch them. */
 const CHAIN_CACHE_BYTES = 24 * 1024 * 1024;
 
-/** Time after the signal to stop in which new callers may still come; the platform looks once a second. */
-const LEAVING_MILLISECONDS = 3000;
+/**
+ * Time after the signal to stop in which requests are still taken: the platform looks once a
+ * second and sends nobody after the second look, and what comes later might not end in time.
+ */
+const LEAVING_MILLISECONDS = 2500;
 
 /** Part of the time to stop that is left for closing; milliseconds. */
-const CLOSING_MILLISECONDS = 700;
+const CLOSING_MILLISECONDS = 300;
 
 /** Result of reading a configuration's text. */
 export type ParsedConfiguration =
@@ -158,6 +161,7 @@
       const total = settings.node['stop-seconds'] * 1000 - CLOSING_MILLISECONDS;
       const stay = Math.min(LEAVING_MILLISECONDS, total / 2);
       await delay(clock, stay);
+      server.refuseNew();
       await Promise.race([server.idle(), delay(clock, total - stay)]);
       await handedOver;
     },
