What an engine holds of a prompt is counted in tokens by part

Cause: the last part of a prompt keeps its id and grows with each turn; it was taken for new each time, so 60% of continued turns moved to another engine and were read again.

--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -92,6 +92,8 @@
     ]);
     turn.exchange.decide({
       step: 'prepare',
+      prompt: head.promptTokens,
+      parts: head.parts.length,
       budget: fits instanceof TurnsUnavailable ? 'unknown' : fits,
       chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
@@ -179,7 +181,7 @@
     const { clock, turns, metrics } = this.#options;
     const tokensPerEvent = tokensPerEventOf(table, placed);
     const tokens = output.count * tokensPerEvent;
-    placed?.state.noteParts(exchange.head.parts.map((part) => part.id));
+    placed?.state.noteParts(exchange.head.parts, tokens);
     if (route.retentionSeconds !== undefined) {
       const startedAt = clock.monotonic();
       try {
@@ -191,6 +193,7 @@
             input,
             output: output.toBuffer(),
             tokens,
+            contextTokens: exchange.head.promptTokens + tokens,
             endedAt: clock.now(),
             retentionSeconds: route.retentionSeconds,
             target: placed?.state.target.id ?? '',
@@ -253,13 +256,12 @@
   return parts.length === 0 ? input : Buffer.concat([...parts, input]);
 }
 
-/** The engine of the last turn holds all of its prompt but the newest part. */
+/** The engine of the last turn holds all that was said before. */
 function placementWith(exchange: Exchange, chain: Chain): PlacementRequest {
   const last = chain.at(-1);
   const placement = placementOf(exchange);
   if (last === undefined) return placement;
-  const newest = exchange.head.parts.at(-1)?.tokens ?? 0;
-  const heldTokens = Math.max(0, placement.promptTokens - newest);
+  const heldTokens = Math.min(last.contextTokens, placement.promptTokens);
   return { ...placement, lastTarget: last.target, heldTokens };
 }
 
--- a/src/targets/balancer.ts
+++ b/src/targets/balancer.ts
@@ -1,11 +1,6 @@
 import type { RandomSource } from '../core';
 import type { TargetState } from './state';
-
-/** A part of a prompt, in the order of the prompt. */
-export interface PromptPart {
-  readonly id: string;
-  readonly tokens: number;
-}
+import type { PromptPart } from './target';
 
 /** What the choice of a target rests on. */
 export interface PlacementRequest {
@@ -72,13 +67,8 @@
 
 /** Tokens of a prompt that an engine most likely holds. */
 function heldTokens(state: TargetState, request: PlacementRequest): number {
-  if (state.target.id === request.lastTarget) return request.heldTokens;
-  let held = 0;
-  for (const { id, tokens } of request.parts) {
-    if (!state.hasPart(id)) break;
-    held += tokens;
-  }
-  return held;
+  const known = state.heldTokens(request.parts);
+  return state.target.id === request.lastTarget ? Math.max(known, request.heldTokens) : known;
 }
 
 /** Share of a target's slots by which one in another zone must be freer. */
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -3,11 +3,10 @@
   type Placement,
   type PlacementRequest,
   type Placer,
-  type PromptPart,
   SlotPlacer,
 } from './balancer';
 export { type TargetConnection, TargetConnections } from './connections';
 export { TargetDirectory } from './directory';
 export { type LoadContract, LoadExchange } from './load-exchange';
 export { TargetState } from './state';
-export type { ListedTarget, TargetSource } from './target';
+export type { ListedTarget, PromptPart, TargetSource } from './target';
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../core';
-import type { ListedTarget } from './target';
+import type { ListedTarget, PromptPart } from './target';
 
 /** First time for which a target that can't be reached gets no work; milliseconds. */
 const FIRST_PAUSE_MILLISECONDS = 300;
@@ -13,6 +13,7 @@
 /** What this process knows of one target. */
 export class TargetState {
   readonly #clock: Clock;
+  /** Tokens by part, the latest used last. */
   readonly #parts = new Map<string, number>();
   target: ListedTarget;
   /** Requests of this process that are under way there. */
@@ -48,20 +49,27 @@
       this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
   }
 
-  /** Notes that the engine has read a part of a prompt. */
-  noteParts(ids: readonly string[]): void {
-    const now = this.#clock.monotonic();
-    for (const id of ids) {
+  /** Notes what the engine has read, and generated behind the last part. */
+  noteParts(parts: readonly PromptPart[], generatedTokens: number): void {
+    parts.forEach(({ id, tokens }, index) => {
+      const held = index === parts.length - 1 ? tokens + generatedTokens : tokens;
       this.#parts.delete(id);
-      this.#parts.set(id, now);
-    }
+      this.#parts.set(id, held);
+    });
     for (const id of this.#parts.keys()) {
       if (this.#parts.size <= PART_LIMIT) break;
       this.#parts.delete(id);
     }
   }
 
-  hasPart(id: string): boolean {
-    return this.#parts.has(id);
+  /** Tokens of a prompt that the engine has read before, from its beginning on. */
+  heldTokens(parts: readonly PromptPart[]): number {
+    let held = 0;
+    for (const { id, tokens } of parts) {
+      const known = Math.min(this.#parts.get(id) ?? 0, tokens);
+      held += known;
+      if (known < tokens) break;
+    }
+    return held;
   }
 }
--- a/src/targets/target.ts
+++ b/src/targets/target.ts
@@ -16,3 +16,12 @@
   /** Resolves with the whole list; rejects if it can't be read now. */
   list(): Promise<readonly ListedTarget[]>;
 }
+
+/**
+ * A part of a prompt, in the order of the prompt. The last one belongs to a conversation and grows
+ * with each turn.
+ */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -11,6 +11,8 @@
   readonly output: Buffer;
   /** Tokens that were generated. */
   readonly tokens: number;
+  /** Tokens that its engine holds of it and its chain: the whole prompt and what was generated. */
+  readonly contextTokens: number;
   /** Wall time of its end, milliseconds since the Unix epoch. */
   readonly endedAt: number;
   /** Seconds for which it and its chain are to be kept. */
@@ -46,6 +48,7 @@
   z.number(),
   z.number(),
   z.number(),
+  z.number(),
   z.string(),
   z.string(),
   z.string(),
@@ -73,6 +76,7 @@
     record.program,
     record.previous ?? '',
     record.tokens,
+    record.contextTokens,
     record.endedAt,
     record.retentionSeconds,
     record.target,
@@ -89,7 +93,8 @@
     const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
     return { kind: 'budget', program, changedAt, reservations };
   }
-  const [, id, program, previous, tokens, endedAt, retentionSeconds, target, input, output] = row;
+  const [, id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] = row;
+  const [target, input, output] = rest;
   const record = {
     id,
     program,
@@ -97,6 +102,7 @@
     input: Buffer.from(input, 'latin1'),
     output: Buffer.from(output, 'latin1'),
     tokens,
+    contextTokens,
     endedAt,
     retentionSeconds,
     target,
