--- a/src/cluster/client.ts
+++ b/src/cluster/client.ts
@@ -111,7 +111,12 @@
           : await peers.call(address, name, request, ANSWER_MILLISECONDS);
       return answer as LeaderAnswer<Value>;
     } catch (error) {
-      logger.info({ event: 'leader-not-reached', call: name, leader: address, error: messageOf(error) });
+      logger.info({
+        event: 'leader-not-reached',
+        call: name,
+        leader: address,
+        error: messageOf(error),
+      });
       const failure = error instanceof LinkError ? error.failure : 'failed';
       return { kind: 'not-now', reason: `the leader did not answer: ${failure}` };
     }
--- a/src/cluster/greeter.ts
+++ b/src/cluster/greeter.ts
@@ -1,6 +1,11 @@
 import { type Clock, type Component, type Logger, PeriodicTask, messageOf } from '../core';
 import type { Caller } from '../link';
-import type { ClusterContract, GreetingAnswer, LeaderHint, VersionedConfiguration } from './contract';
+import type {
+  ClusterContract,
+  GreetingAnswer,
+  LeaderHint,
+  VersionedConfiguration,
+} from './contract';
 import type { NodeDirectory } from './directory';
 import type { Newest } from './newest';
 import type { NodeInfo, NodeStatus } from './node';
--- a/src/cluster/member.ts
+++ b/src/cluster/member.ts
@@ -1,25 +1,8 @@
-import {
-  type Clock,
-  type Component,
-  type Logger,
-  type RandomSource,
-  messageOf,
-} from '../core';
+import { type Clock, type Component, type Logger, type RandomSource, messageOf } from '../core';
 import type { Caller } from '../link';
-import {
-  type Envelope,
-  ReplicatedLog,
-  allMembers,
-  hostOf,
-  nameOf,
-} from '../replication';
+import { type Envelope, ReplicatedLog, allMembers, hostOf, nameOf } from '../replication';
 import type { RecordStore } from '../storage';
-import type {
-  ClusterContract,
-  LeaderAnswer,
-  LeaderHint,
-  VersionedConfiguration,
-} from './contract';
+import type { ClusterContract, LeaderAnswer, LeaderHint, VersionedConfiguration } from './contract';
 import type { NodeDirectory } from './directory';
 import type { Founding } from './founding';
 import { type ClusterCommand, ClusterMachine, type CommandOutcome } from './machine';
--- a/src/cluster/view-plan.ts
+++ b/src/cluster/view-plan.ts
@@ -112,12 +112,7 @@
   return undefined;
 }
 
-function replace(
-  view: StoreView,
-  member: ViewMember,
-  store: KnownNode,
-  reason: string,
-): ViewStep {
+function replace(view: StoreView, member: ViewMember, store: KnownNode, reason: string): ViewStep {
   const epoch = view.epoch + 1;
   const newcomer = memberOf(store, epoch);
   const members = view.members.map((other) => (other === member ? newcomer : other));
@@ -138,9 +133,7 @@
 
 function isComplete(input: ViewPlanInput, member: ViewMember): boolean {
   const store = input.stores.find(({ node }) => node.name === member.name);
-  return (
-    store?.node.dataLife === member.dataLife && store.status?.completeFor === member.joined
-  );
+  return store?.node.dataLife === member.dataLife && store.status?.completeFor === member.joined;
 }
 
 function knowsEpoch(input: ViewPlanInput, member: ViewMember, epoch: number): boolean {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -76,7 +76,7 @@
     const { connection, method, path, headers, body } = this.#options;
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
+      const options = { method: method, path, headers, body };
       try {
         connection.dispatch(options, this);
       } catch (error) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -48,7 +48,7 @@
   readonly #options: ExchangeOptions;
   readonly #goneListeners = new Set<() => void>();
   readonly #decisions: Record<string, unknown>[] = [];
-  #isGone = false;
+  #hasLeft = false;
   #route: Route | undefined;
 
   constructor(options: ExchangeOptions) {
@@ -67,8 +67,8 @@
   }
 
   /** Whether the caller has closed its connection before the answer was whole. */
-  get isGone(): boolean {
-    return this.#isGone;
+  hasLeft(): boolean {
+    return this.#hasLeft;
   }
 
   /** Monotonic time at which the answer must be there: the caller's wait or the route's timeout. */
@@ -118,7 +118,7 @@
 
   /** Passes on a whole answer of a target. */
   answer(status: number, rawHeaders: readonly string[], body: Buffer): void {
-    if (this.#isGone) return;
+    if (this.#hasLeft) return;
     this.begin(status, rawHeaders);
     this.response.end(body);
     this.log('answered', { status });
@@ -128,7 +128,7 @@
   refuse({ status, code, message, retryAfterSeconds }: Refusal): void {
     this.#options.metrics.count(`refusals_total{code="${code}"}`);
     this.log('refused', { status, code, reason: message, retryAfterSeconds });
-    if (this.#isGone || this.response.headersSent) return;
+    if (this.#hasLeft || this.response.headersSent) return;
     this.#markClosing();
     const body = Buffer.from(JSON.stringify({ error: { code, message } }));
     this.response.setHeader('content-type', 'application/json');
@@ -170,7 +170,7 @@
 
   #close(): void {
     if (this.response.writableFinished) return;
-    this.#isGone = true;
+    this.#hasLeft = true;
     for (const listener of this.#goneListeners) listener();
     this.#goneListeners.clear();
   }
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -78,7 +78,7 @@
     let unreached = 0;
     let mayHaveRun = false;
     for (;;) {
-      if (exchange.isGone) return { kind: 'gone' };
+      if (exchange.hasLeft()) return { kind: 'gone' };
       if (exchange.remainingMilliseconds <= 0) return refuse(timeOver(mayHaveRun), mayHaveRun);
       const placement = this.#place(service, placer, tried, request);
       if (placement === undefined) return refuse(this.#noTarget(service, mayHaveRun), mayHaveRun);
@@ -90,7 +90,7 @@
         case 'streamed':
           return outcome;
         case 'given-up':
-          if (exchange.isGone) return { kind: 'gone' };
+          if (exchange.hasLeft()) return { kind: 'gone' };
           mayHaveRun ||= outcome.sent;
           return refuse(timeOver(mayHaveRun), mayHaveRun, outcome.began);
         case 'not-sent':
@@ -217,5 +217,10 @@
     return { status: 504, code: 'time_over', message };
   }
   const message = 'the time was over before a target took the request; it was not run';
-  return { status: 503, code: 'time_over', message, retryAfterSeconds: RETRY_AFTER_SECONDS.shortest };
+  return {
+    status: 503,
+    code: 'time_over',
+    message,
+    retryAfterSeconds: RETRY_AFTER_SECONDS.shortest,
+  };
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,12 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
-import { type Address, type Clock, type Component, type Logger, type Metrics, messageOf } from '../core';
+import {
+  type Address,
+  type Clock,
+  type Component,
+  type Logger,
+  type Metrics,
+  messageOf,
+} from '../core';
 import type { CallerLimits, RouteTable } from '../routes';
 import { handleCall } from './call-handler';
 import { Exchange, type Refusal } from './exchange';
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -207,8 +207,8 @@
       }
       metrics.observe('turn_kept', clock.monotonic() - startedAt);
     }
-    if (!exchange.isGone) exchange.response.end();
-    exchange.log(exchange.isGone ? 'gone' : 'answered', { status: 200, events: output.count });
+    if (!exchange.hasLeft()) exchange.response.end();
+    exchange.log(exchange.hasLeft() ? 'gone' : 'answered', { status: 200, events: output.count });
   }
 
   #release({ program, id, exchange, route }: Turn): void {
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -44,7 +44,8 @@
     if (length > FRAME_LIMIT_BYTES) throw LinkError.of('protocol', `a frame of ${length} bytes`);
     if (this.#available < LENGTH_BYTES + length) return undefined;
     const bytes = this.#joined();
-    this.#chunks = bytes.length > LENGTH_BYTES + length ? [bytes.subarray(LENGTH_BYTES + length)] : [];
+    this.#chunks =
+      bytes.length > LENGTH_BYTES + length ? [bytes.subarray(LENGTH_BYTES + length)] : [];
     this.#available = bytes.length - LENGTH_BYTES - length;
     return bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
   }
--- a/src/link/peers.ts
+++ b/src/link/peers.ts
@@ -69,4 +69,3 @@
     return peer;
   }
 }
-
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,13 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClusterClient } from '../cluster';
-import {
-  type Issue,
-  LifeCycle,
-  type Logger,
-  delay,
-  formatIssue,
-  parseAddress,
-} from '../core';
+import { type Issue, LifeCycle, type Logger, delay, formatIssue, parseAddress } from '../core';
 import { Forwarder, GatewayServer, TurnHandler, type Wire } from '../gateway';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
@@ -133,10 +126,7 @@
   lifeCycle.add('peers', peers);
   lifeCycle.add('connections', connections);
   if (keeper !== undefined) lifeCycle.add('cluster-state', keeper.member);
-  lifeCycle.add(
-    'listener',
-    parts.createListener([service.calls], [service.casts, loads.casts]),
-  );
+  lifeCycle.add('listener', parts.createListener([service.calls], [service.casts, loads.casts]));
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('greeter', greeter);
   if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -127,4 +127,3 @@
 function modifiedAt(file: string): number {
   return statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
 }
-
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -2,7 +2,7 @@
 import { addressSchema } from '../core';
 
 const addressText = z.string().refine((text) => addressSchema.safeParse(text).success, {
-  message: 'not an IP number with a port; write it like 10.0.0.7:8080',
+  error: 'not an IP number with a port; write it like 10.0.0.7:8080',
 });
 
 /** Settings of one process that runs as a gateway or a store. */
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -5,7 +5,12 @@
   contentPlaceSchema,
 } from './content-store';
 export { StorageError } from './errors';
-export { type AppendFile, type FileSystem, NodeFileSystem, type NodeFileSystemOptions } from './file-system';
+export {
+  type AppendFile,
+  type FileSystem,
+  NodeFileSystem,
+  type NodeFileSystemOptions,
+} from './file-system';
 export { QuarantiningStore, type QuarantiningStoreOptions } from './quarantining-store';
 export type { Compaction, RecordStore, StoredRecords } from './record-store';
 export { SegmentedStore, type SegmentedStoreOptions, markDamaged } from './segmented-store';
--- a/src/targets/load-exchange.ts
+++ b/src/targets/load-exchange.ts
@@ -1,6 +1,6 @@
 import type { NodeDirectory, NodeInfo } from '../cluster';
 import { type Clock, type Component, PeriodicTask } from '../core';
-import type { Caller, CastHandlers } from '../link';
+import type { Caller, CastHandlers, Contract } from '../link';
 import type { TargetDirectory } from './directory';
 
 /** Pause between messages; short against the time of a request. Milliseconds. */
@@ -16,7 +16,7 @@
 }
 
 export interface LoadContract {
-  readonly calls: Readonly<Record<never, never>>;
+  readonly calls: Contract['calls'];
   readonly casts: { readonly 'targets.load': LoadReport };
 }
 
@@ -24,7 +24,7 @@
   readonly self: NodeInfo;
   readonly directory: NodeDirectory;
   readonly targets: TargetDirectory;
-  readonly peers: Caller<LoadContract>;
+  readonly peers: Pick<Caller<LoadContract>, 'cast'>;
   readonly clock: Clock;
 }
 
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -45,8 +45,7 @@
   noteFailure(): void {
     const pause = FIRST_PAUSE_MILLISECONDS * 2 ** this.#failures;
     this.#failures = Math.min(this.#failures + 1, 10);
-    this.#pausedUntil =
-      this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
+    this.#pausedUntil = this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
   }
 
   /** Notes what the engine has read, and generated behind the last part. */
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -39,8 +39,7 @@
 
 /** The chain that a turn continues, oldest turn first; or that there is no such turn. */
 export type ChainLookup =
-  | { readonly kind: 'found'; readonly records: readonly TurnRecord[] }
-  | { readonly kind: 'absent' };
+  { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
 
 type Reply<Answer> = Answer | ViewMismatch;
 
@@ -102,7 +101,7 @@
   /** Finds a turn and all that it continues; rejects where that can't be told for certain. */
   async chain(turn: string, deadline: number): Promise<ChainLookup> {
     const records: TurnRecord[] = [];
-    for (let id: string | undefined = turn; id !== undefined; ) {
+    for (let id: string | undefined = turn; id !== undefined;) {
       const cached = this.#options.cache.get(id);
       const fetched: readonly TurnRecord[] =
         cached === undefined ? await this.#fetch(id, deadline) : [cached];
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -1,5 +1,12 @@
 import type { Newest, StoreView } from '../cluster';
-import { type Clock, type Component, type Logger, type Metrics, PeriodicTask, messageOf } from '../core';
+import {
+  type Clock,
+  type Component,
+  type Logger,
+  type Metrics,
+  PeriodicTask,
+  messageOf,
+} from '../core';
 import type { CallHandlers, CastHandlers } from '../link';
 import type {
   ChainAnswer,
@@ -89,12 +96,14 @@
     this.#view = view;
     const kept = view.epoch === journal.view?.epoch ? Promise.resolve() : journal.keepView(view);
     this.#adopting = Promise.all([this.#adopting, kept]).then(() => undefined);
-    this.#adopting.catch((error: unknown) => {
-      logger.error({ event: 'view-not-kept', epoch: view.epoch, error: messageOf(error) });
-    });
-    void this.#adopting.then(() => {
-      filler.fill(view);
-    });
+    this.#adopting.then(
+      () => {
+        filler.fill(view);
+      },
+      (error: unknown) => {
+        logger.error({ event: 'view-not-kept', epoch: view.epoch, error: messageOf(error) });
+      },
+    );
   }
 
   /** Runs `act` if the asker's view is the present one. */
@@ -121,7 +130,7 @@
   get #isComplete(): boolean {
     const { self, journal } = this.#options;
     const member = this.#view?.members.find(({ name }) => name === self);
-    return member !== undefined && member.joined === journal.completeFor;
+    return member?.joined === journal.completeFor;
   }
 
   #reserve({
--- a/src/turns/table.ts
+++ b/src/turns/table.ts
@@ -54,7 +54,7 @@
   /** The chain that ends with a turn. */
   chain(turn: string): StoredChain {
     const records: TurnRecord[] = [];
-    for (let id: string | undefined = turn; id !== undefined; ) {
+    for (let id: string | undefined = turn; id !== undefined;) {
       const record = this.#turns.get(id);
       if (record === undefined) return { records: records.reverse(), missing: id };
       records.push(record);
--- /dev/null
+++ b/src/turns/tests/reservations.test.ts
@@ -0,0 +1,78 @@
+import { Newest, type StoreView } from '../../cluster';
+import { Metrics, createSilentLogger } from '../../core';
+import { ManualClock } from '../../core/tests/manual-clock';
+import type { Caller } from '../../link';
+import { ChainCache, type Reservation, TurnClient, type TurnContract } from '..';
+import { settle } from './store-cluster';
+
+const MOST = 10;
+
+/** Stores that do nothing but note reservations in the order in which they arrive. */
+class NotingStores {
+  readonly #reservations = new Map<string, Reservation[]>();
+  /** Reservations that a store never receives, as `store turn`. */
+  readonly lost = new Set<string>();
+
+  readonly caller: Caller<TurnContract> = {
+    call: ((store: string, name: string, body: { readonly turn?: string }) => {
+      const noted = this.#reservations.get(store) ?? [];
+      this.#reservations.set(store, noted);
+      if (name === 'turns.reserve' && body.turn !== undefined) {
+        if (this.lost.has(`${store} ${body.turn}`)) return new Promise(() => undefined);
+        noted.push({ turn: body.turn, tokens: MOST, settled: false });
+      }
+      return Promise.resolve({ kind: 'reservations', complete: true, reservations: [...noted] });
+    }) as Caller<TurnContract>['call'],
+    cast: () => undefined,
+    isConnected: () => true,
+  };
+}
+
+function createClient(stores: NotingStores, clock: ManualClock): TurnClient {
+  const view = new Newest<StoreView>(({ epoch }) => epoch);
+  const members = ['a', 'b', 'c'].map((name) => ({
+    name,
+    address: name,
+    availabilityZone: name,
+    dataLife: name,
+    joined: 1,
+  }));
+  view.offer({ epoch: 1, members, quorum: 2 });
+  return new TurnClient({
+    availabilityZone: 'a',
+    view,
+    cache: new ChainCache(0),
+    peers: stores.caller,
+    clock,
+    logger: createSilentLogger(),
+    metrics: new Metrics(),
+  });
+}
+
+describe('reservations of turns at the same time', () => {
+  const reserve = (client: TurnClient, turn: string) =>
+    client.reserve({ program: 'p', turn, most: MOST, budget: 2 * MOST, deadline: 1000 });
+
+  describe('where each reaches another two of three stores', () => {
+    it('never grants more than fits, though each sees only one of the others at first', async () => {
+      const clock = new ManualClock();
+      const stores = new NotingStores();
+      stores.lost.add('c t1').add('a t2').add('b t3');
+      const client = createClient(stores, clock);
+      const answers = Promise.all(['t1', 't2', 't3'].map((turn) => reserve(client, turn)));
+      await settle();
+      clock.advance(20);
+      const granted = (await answers).filter(Boolean);
+      expect(granted.length).toBeLessThanOrEqual(2);
+    });
+  });
+
+  describe('where all stores answer', () => {
+    it('grants what fits in one round', async () => {
+      const client = createClient(new NotingStores(), new ManualClock());
+      expect(await reserve(client, 't1')).toBe(true);
+      expect(await reserve(client, 't2')).toBe(true);
+      expect(await reserve(client, 't3')).toBe(false);
+    });
+  });
+});
