Test of reservations in a circle

Now each store sees another order: three of two that fit are granted with one round, two at most with the second.

--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -7,25 +7,38 @@
 
 const MOST = 10;
 
-/** Stores that do nothing but note reservations in the order in which they arrive. */
+/** Stores that do nothing but note reservations, in the order in which they are let through. */
 class NotingStores {
   readonly #reservations = new Map<string, Reservation[]>();
-  /** Reservations that a store never receives, as `store turn`. */
-  readonly lost = new Set<string>();
+  readonly #held = new Map<string, () => void>();
+  /** Whether reservations wait until they are let through. */
+  holds = false;
 
   readonly caller: Caller<TurnContract> = {
-    call: ((store: string, name: string, body: { readonly turn?: string }) => {
+    call: ((store: string, _name: string, body: { readonly turn?: string }): Promise<unknown> => {
       const noted = this.#reservations.get(store) ?? [];
       this.#reservations.set(store, noted);
-      if (name === 'turns.reserve' && body.turn !== undefined) {
-        if (this.lost.has(`${store} ${body.turn}`)) return new Promise(() => undefined);
-        noted.push({ turn: body.turn, tokens: MOST, settled: false });
-      }
-      return Promise.resolve({ kind: 'reservations', complete: true, reservations: [...noted] });
+      const answer = () =>
+        ({ kind: 'reservations', complete: true, reservations: [...noted] }) as const;
+      const { turn } = body;
+      if (turn === undefined) return Promise.resolve(answer());
+      return new Promise((resolve) => {
+        const note = () => {
+          noted.push({ turn, tokens: MOST, settled: false });
+          resolve(answer());
+        };
+        if (this.holds) this.#held.set(`${store} ${turn}`, note);
+        else note();
+      });
     }) as Caller<TurnContract>['call'],
     cast: () => undefined,
     isConnected: () => true,
   };
+
+  /** Lets reservations through, each named as `store turn`. */
+  letThrough(names: readonly string[]): void {
+    for (const name of names) this.#held.get(name)?.();
+  }
 }
 
 function createClient(stores: NotingStores, clock: ManualClock): TurnClient {
@@ -57,9 +70,10 @@
     it('never grants more than fits, though each sees only one of the others at first', async () => {
       const clock = new ManualClock();
       const stores = new NotingStores();
-      stores.lost.add('c t1').add('a t2').add('b t3');
+      stores.holds = true;
       const client = createClient(stores, clock);
       const answers = Promise.all(['t1', 't2', 't3'].map((turn) => reserve(client, turn)));
+      stores.letThrough(['b t1', 'c t2', 'a t3', 'a t1', 'b t2', 'c t3']);
       await settle();
       clock.advance(20);
       const granted = (await answers).filter(Boolean);
