--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -1,10 +1,10 @@
 import {
+  type CancelTimer,
   type Clock,
   type Component,
   type Logger,
   type Metrics,
   type RandomSource,
-  delay,
   messageOf,
 } from '../core';
 import { TargetState } from './state';
@@ -16,6 +16,9 @@
 /** Pause after a reading that failed; milliseconds. */
 const RETRY_MILLISECONDS = 250;
 
+/** Shares of the pause by which processes are kept from reading at the same time. */
+const SPREAD = { least: 0.9, more: 0.2 };
+
 export interface TargetDirectoryOptions {
   readonly source: TargetSource;
   readonly clock: Clock;
@@ -32,6 +35,7 @@
   #stopped = false;
   #loaded = false;
   #reading = true;
+  #cancel: CancelTimer = () => undefined;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
@@ -43,6 +47,7 @@
 
   stop(): void {
     this.#stopped = true;
+    this.#cancel();
   }
 
   /** Whether the list was read at least once. */
@@ -103,11 +108,11 @@
 
   async #run(): Promise<void> {
     const { clock, random } = this.#options;
-    while (!this.#stopped) {
-      const read = await this.#read();
-      const pause = read ? READ_MILLISECONDS : RETRY_MILLISECONDS;
-      await delay(clock, pause * (0.9 + 0.2 * random.fraction()));
-    }
+    const read = await this.#read();
+    if (this.#stopped) return;
+    const pause = read ? READ_MILLISECONDS : RETRY_MILLISECONDS;
+    const spread = SPREAD.least + SPREAD.more * random.fraction();
+    this.#cancel = clock.after(pause * spread, () => void this.#run());
   }
 
   async #read(): Promise<boolean> {
