--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -29,6 +29,8 @@
   readonly forwarder: Forwarder;
   readonly turnHandler: TurnHandler;
   readonly routes: () => RouteTable | undefined;
+  /** Whether callers are well served here; if not they are told to open another connection. */
+  readonly isReady: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -39,7 +41,6 @@
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
   readonly #underWay = new Set<Exchange>();
-  #closing = false;
   #refusing = false;
   #onIdle: () => void = () => undefined;
 
@@ -79,11 +80,6 @@
     server.keepAliveTimeout = idleMilliseconds;
   }
 
-  /** From now on callers are told to open another connection after each answer. */
-  beginClosing(): void {
-    this.#closing = true;
-  }
-
   /** From now on new requests are refused, and connections without a request are closed. */
   refuseNew(): void {
     this.#refusing = true;
@@ -100,7 +96,7 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { wire, clock, logger, metrics } = this.#options;
+    const { wire, clock, logger, metrics, isReady } = this.#options;
     const exchange = new Exchange({
       request,
       response,
@@ -108,7 +104,7 @@
       clock,
       logger,
       metrics,
-      closes: () => this.#closing,
+      closes: () => !isReady(),
     });
     this.#underWay.add(exchange);
     try {
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,7 +1,7 @@
 import { type Clock, type Logger, MartenbayError, type Metrics } from '../core';
 import type { Route, RouteTable } from '../routes';
 import type { Placement, PlacementRequest } from '../targets';
-import { type TurnClient, type TurnRecord, TurnsUnavailable } from '../turns';
+import { type StoreWatch, type TurnClient, type TurnRecord, TurnsUnavailable } from '../turns';
 import type { Attempt } from './attempt';
 import { BODY_TOO_LARGE, placementOf } from './call-handler';
 import { EventOutput } from './event-output';
@@ -11,6 +11,9 @@
 /** Longest time spent on budget and chain before a turn is refused; milliseconds. */
 const PREPARE_MILLISECONDS = 1500;
 
+/** The same while no quorum of the stores is reached: another gateway may do better. */
+const PREPARE_OUT_OF_REACH_MILLISECONDS = 300;
+
 /** Shortest time for which a whole turn is tried to be kept; milliseconds. */
 const RECORD_MILLISECONDS = 2500;
 
@@ -20,6 +23,7 @@
 export interface TurnHandlerOptions {
   readonly forwarder: Forwarder;
   readonly turns: TurnClient;
+  readonly watch: Pick<StoreWatch, 'reachesQuorum'>;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -81,7 +85,10 @@
     const { turns, clock } = this.#options;
     const { head } = turn.exchange;
     const startedAt = clock.monotonic();
-    const deadline = Math.min(startedAt + PREPARE_MILLISECONDS, turn.exchange.deadline);
+    const patience = this.#options.watch.reachesQuorum
+      ? PREPARE_MILLISECONDS
+      : PREPARE_OUT_OF_REACH_MILLISECONDS;
+    const deadline = Math.min(startedAt + patience, turn.exchange.deadline);
     const [fits, chain] = await Promise.all([
       this.#ask(() => this.#reserve(turn, deadline)),
       this.#ask(() =>
@@ -133,6 +140,7 @@
       table,
       body: buildBody(chain, turn.input),
       placement: placementWith(exchange, chain),
+      priority: enginePriority(route),
       onAttempt: (started, placement) => {
         attempt = started;
         placed = placement;
@@ -265,6 +273,14 @@
   return { ...placement, lastTarget: last.target, heldTokens };
 }
 
+/** Engines know 0 to 9 and take 5 where nothing is said. */
+const ENGINE_PRIORITY = { first: 2, step: 3, last: 9 };
+
+function enginePriority({ priority }: Route): number {
+  const { first, step, last } = ENGINE_PRIORITY;
+  return Math.min(first + priority * step, last);
+}
+
 function tokensPerEventOf(table: RouteTable, placed: Placement | undefined): number {
   const service = placed === undefined ? undefined : table.service(placed.state.target.service);
   return service?.engine?.tokensPerEvent ?? 1;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -11,7 +11,7 @@
   TargetDirectory,
   type TargetSource,
 } from '../targets';
-import { ChainCache, TurnClient } from '../turns';
+import { ChainCache, StoreWatch, TurnClient } from '../turns';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeParts, type NodePartsOptions } from './node';
 import type { NodeSettings } from './settings';
@@ -95,15 +95,20 @@
     metrics,
   });
   const cache = new ChainCache(CHAIN_CACHE_BYTES);
-  const turns = new TurnClient({ availabilityZone, view, cache, peers, clock, logger, metrics });
-  const turnHandler = new TurnHandler({ forwarder, turns, clock, logger, metrics });
+  const watch = new StoreWatch({ view, peers, clock, logger });
+  const turnParts = { availabilityZone, view, cache, watch, peers, clock, logger, metrics };
+  const turns = new TurnClient(turnParts);
+  const turnHandler = new TurnHandler({ forwarder, turns, watch, clock, logger, metrics });
   let table: RouteTable | undefined;
+  let leaving = false;
+  const isReady = () => !leaving && table !== undefined && targets.isLoaded && watch.reachesQuorum;
   const server = new GatewayServer({
     address: parseAddress(settings.listen.callers ?? ''),
     wire: platform.wire,
     forwarder,
     turnHandler,
     routes: () => table,
+    isReady,
     clock,
     logger,
     metrics,
@@ -119,8 +124,6 @@
     server.limit(parsed.configuration.limits);
   });
 
-  let leaving = false;
-  const isReady = () => !leaving && table !== undefined && targets.isLoaded;
   const lifeCycle = new LifeCycle();
   lifeCycle.add('log', parts.logOutput);
   lifeCycle.add('peers', peers);
@@ -130,6 +133,7 @@
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('greeter', greeter);
   if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
+  lifeCycle.add('store-watch', watch);
   lifeCycle.add('targets', targets);
   lifeCycle.add('loads', loads);
   addEndpoint(parts, lifeCycle, settings.listen.readiness, (_request, response) => {
@@ -146,7 +150,6 @@
     lifeCycle,
     leave: async () => {
       leaving = true;
-      server.beginClosing();
       const handedOver = keeper?.member.handOver();
       const total = settings.node['stop-seconds'] * 1000 - CLOSING_MILLISECONDS;
       const stay = Math.min(LEAVING_MILLISECONDS, total / 2);
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -4,6 +4,7 @@
 import type { ChainCache } from './chain-cache';
 import type { ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
 import { TurnsUnavailable } from './errors';
+import type { StoreWatch } from './store-watch';
 import { type Round, askMembers } from './quorum';
 import type { Reservation, TurnRecord } from './records';
 
@@ -20,6 +21,7 @@
   readonly availabilityZone: string;
   readonly view: Newest<StoreView>;
   readonly cache: ChainCache;
+  readonly watch: Pick<StoreWatch, 'noteSuccess'>;
   readonly peers: Caller<TurnContract>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -175,6 +177,7 @@
         for (const answer of round.answers) this.#learn(answer);
         const answers = accepted<Answer>(round.answers);
         if (answers.filter(options.counts).length >= view.quorum) {
+          this.#options.watch.noteSuccess();
           return { answers, all: answers.length === view.members.length };
         }
         reason = describe(round);
--- a/src/turns/index.ts
+++ b/src/turns/index.ts
@@ -6,4 +6,5 @@
 export { TurnJournal } from './journal';
 export { type Reservation, type TurnRecord, type TurnRow, decodeRow, encodeRow } from './records';
 export { TurnStore } from './store';
+export { StoreWatch } from './store-watch';
 export { TurnTable } from './table';
--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -55,6 +55,7 @@
     availabilityZone: 'a',
     view,
     cache: new ChainCache(0),
+    watch: { noteSuccess: () => undefined },
     peers: stores.caller,
     clock,
     logger: createSilentLogger(),
--- a/src/turns/tests/store-cluster.ts
+++ b/src/turns/tests/store-cluster.ts
@@ -160,6 +160,7 @@
       availabilityZone: 'a',
       view,
       cache: new ChainCache(0),
+      watch: { noteSuccess: () => undefined },
       peers: this.caller(name),
       clock: this.clock,
       logger: this.#logger,
