An answer whose connection was reset is not whole, however it was framed

Cause: undici takes a reset for the end of an answer that its connection completes (its onHttpSocketError), so a part of a body left as a whole one. Ruled out: answers with a length, which undici counts.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -132,8 +132,11 @@
 
   onResponseEnd(): void {
     const status = this.#status;
-    const { receiver } = this.#options;
-    if (this.#head?.isNotRun === true || status === MISDIRECTED) {
+    const { receiver, connection } = this.#options;
+    if (connection.hasFailed()) {
+      const reason = 'the connection was reset before the end of the answer';
+      this.#settle({ kind: 'unknown', reason, began: this.#began });
+    } else if (this.#head?.isNotRun === true || status === MISDIRECTED) {
       this.#settle({ kind: 'not-run', status }, true);
     } else if (receiver !== undefined && isSuccess(status)) {
       if (!this.#began) receiver.begin(status, this.#headers);
--- a/src/targets/connections.ts
+++ b/src/targets/connections.ts
@@ -1,6 +1,7 @@
-import type { Dispatcher } from 'undici';
+import { connect } from 'node:net';
+import type { Client as ClientType, Dispatcher } from 'undici';
 import Client from 'undici/lib/dispatcher/client.js';
-import type { Component, Logger, Metrics } from '../core';
+import { type Component, type Logger, type Metrics, parseAddress } from '../core';
 import type { TargetState } from './state';
 
 /** Longest time to open a connection; a target takes 1 ms. Milliseconds. */
@@ -15,6 +16,11 @@
 /** One connection to a target, which carries one request at a time. */
 export interface TargetConnection {
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void;
+  /**
+   * Whether the connection ended with an error. undici takes an answer that the end of its
+   * connection completes for whole even if that was a reset.
+   */
+  hasFailed(): boolean;
   /** Gives the connection back after a whole answer; another request may use it. */
   release(): void;
   /** Closes the connection: its state is not known. */
@@ -26,6 +32,8 @@
   readonly #logger: Logger;
   readonly #metrics: Metrics;
   readonly #idle = new Map<string, Client[]>();
+  /** Clients whose socket has ended with an error. */
+  readonly #failed = new WeakSet<Client>();
 
   constructor(logger: Logger, metrics: Metrics) {
     this.#logger = logger;
@@ -41,6 +49,7 @@
       dispatch: (options, handler) => {
         client.dispatch(options, handler);
       },
+      hasFailed: () => this.#failed.has(client),
       release: () => {
         if (done) return;
         done = true;
@@ -70,9 +79,11 @@
 
   #open(key: string, address: string): Client {
     this.#metrics.count('target_connections_opened_total');
-    const client = new Client(`http://${address}`, {
+    const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_MILLISECONDS },
+      connect: connectorTo(address, () => {
+        this.#failed.add(client);
+      }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
@@ -100,3 +111,28 @@
     });
   }
 }
+
+type Connector = Extract<ClientType.Options['connect'], (...parameters: never[]) => unknown>;
+
+/** Opens sockets whose errors are told before undici hears of them. */
+function connectorTo(address: string, onError: () => void): Connector {
+  const { host, port } = parseAddress(address);
+  return (_options, callback) => {
+    const socket = connect({ host, port, noDelay: true, timeout: CONNECT_MILLISECONDS });
+    const onTimeout = () => {
+      socket.destroy(new Error(`no connection in ${CONNECT_MILLISECONDS} ms`));
+    };
+    const onFailedConnect = (error: Error) => {
+      callback(error, null);
+    };
+    socket.on('error', onError);
+    socket.once('timeout', onTimeout);
+    socket.once('error', onFailedConnect);
+    socket.once('connect', () => {
+      socket.setTimeout(0);
+      socket.off('timeout', onTimeout);
+      socket.off('error', onFailedConnect);
+      callback(null, socket);
+    });
+  };
+}
