--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -52,7 +52,8 @@
 
 const SUCCESS = { from: 200, to: 299 };
 
-const MISDIRECTED = 421;
+/** Status of a server that is not the one that was meant. */
+export const MISDIRECTED = 421;
 
 /** One request to one target over one connection. */
 export class Attempt implements Dispatcher.DispatchHandler {
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -9,7 +9,7 @@
   type TargetDirectory,
   type TargetState,
 } from '../targets';
-import { type AnswerReceiver, Attempt, type AttemptOutcome } from './attempt';
+import { type AnswerReceiver, Attempt, type AttemptOutcome, MISDIRECTED } from './attempt';
 import type { Exchange, Refusal } from './exchange';
 import type { Wire } from './wire';
 
@@ -97,7 +97,9 @@
           unreached += 1;
           break;
         case 'not-run':
-          reached += 1;
+          // Another server has the address; it was no try at the one that was meant.
+          if (outcome.status === MISDIRECTED) unreached += 1;
+          else reached += 1;
           break;
         case 'unknown':
           reached += 1;
@@ -174,7 +176,8 @@
       ...('status' in outcome ? { status: outcome.status } : {}),
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    if (kind === 'answered' || kind === 'streamed') state.noteSuccess();
+    if (kind === 'not-run' && outcome.status === MISDIRECTED) state.noteGone();
+    else if (kind === 'answered' || kind === 'streamed') state.noteSuccess();
     else if (kind === 'not-sent' || kind === 'unknown') state.noteFailure();
   }
 
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -37,10 +37,16 @@
   }
 
   noteSuccess(): void {
+    if (this.#pausedUntil === Infinity) return;
     this.#failures = 0;
     this.#pausedUntil = -Infinity;
   }
 
+  /** Notes that another server has the address, which this one does not get back. */
+  noteGone(): void {
+    this.#pausedUntil = Infinity;
+  }
+
   /** Keeps new work away for a time that grows with each failure in a row. */
   noteFailure(): void {
     const pause = FIRST_PAUSE_MILLISECONDS * 2 ** this.#failures;
