--- /dev/null
+++ b/src/routes/tests/routes.test.ts
@@ -0,0 +1,87 @@
+import {
+  type Route,
+  type RouteConfiguration,
+  RouteTable,
+  checkRouteConfiguration,
+  pickService,
+} from '..';
+
+function route(host: string, pathPrefix: string, facts: Partial<Route> = {}): Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind: 'repeatable',
+    timeoutMilliseconds: 1000,
+    aimMilliseconds: 100,
+    priority: 0,
+    services: [{ service: 's', weight: 1 }],
+    attempts: 2,
+    retentionSeconds: undefined,
+    ...facts,
+  };
+}
+
+function configure(routes: readonly Route[]): RouteConfiguration {
+  return {
+    version: 1,
+    routes,
+    services: [{ name: 's', connectionLimit: 1, engine: undefined }],
+    limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+  };
+}
+
+describe('routes', () => {
+  describe('found by host and path', () => {
+    const table = new RouteTable(
+      configure([route('a', '/x/'), route('a', '/x/y/'), route('b', '/')]),
+    );
+
+    it.each([
+      ['a', '/x/1', '/x/'],
+      ['a', '/x/y/1', '/x/y/'],
+      ['a', '/x/yy', '/x/'],
+      ['a', '/x', undefined],
+      ['a', '/', undefined],
+      ['b', '/x/1', '/'],
+      ['c', '/x/1', undefined],
+    ])('%s %s goes to %s', (host, path, prefix) => {
+      expect(table.find(host, path)?.pathPrefix).toBe(prefix);
+    });
+  });
+
+  describe('with weights', () => {
+    const services = [
+      { service: 'never', weight: 0 },
+      { service: 'mostly', weight: 9 },
+      { service: 'seldom', weight: 1 },
+    ];
+
+    it.each([
+      [0, 'mostly'],
+      [0.89, 'mostly'],
+      [0.91, 'seldom'],
+      [0.999, 'seldom'],
+    ])('%s picks %s', (fraction, service) => {
+      expect(pickService(services, fraction)?.service).toBe(service);
+    });
+  });
+
+  describe('checked', () => {
+    it('are refused for each of their faults', () => {
+      const faults = configure([
+        route('a', '/x/', { services: [{ service: 'unknown', weight: 1 }] }),
+        route('a', '/x/'),
+        route('a', '/y/', { services: [{ service: 's', weight: 0 }] }),
+        route('a', '/z/', { timeoutMilliseconds: 0 }),
+      ]);
+      const codes = checkRouteConfiguration(faults).map(({ code, path }) => [code, path[1]]);
+      expect(codes).toEqual([
+        ['unknown_service', 0],
+        ['same_place', 1],
+        ['no_weight', 2],
+        ['no_timeout', 3],
+      ]);
+    });
+  });
+});
