A refused write no longer takes a copy of the cluster's state out for good

Cause: after a write that the disk refused, the log of the cluster's state took no further part until its process ended, and a store refused every request; a second such fault would have left no quorum. Ruled out: carrying on with the same file, whose end is not known after a refused write. The copy is opened again every second on what the disk holds; a store ends itself within 0.3 s and is started again. The lines of a turn now tell budget, the most it may take and what others take; the list is read within its rate by any number of gateways.

--- a/src/cluster/member.ts
+++ b/src/cluster/member.ts
@@ -1,4 +1,11 @@
-import { type Clock, type Component, type Logger, type RandomSource, messageOf } from '../core';
+import {
+  type CancelTimer,
+  type Clock,
+  type Component,
+  type Logger,
+  type RandomSource,
+  messageOf,
+} from '../core';
 import type { Caller } from '../link';
 import { type Envelope, ReplicatedLog, allMembers, hostOf, nameOf } from '../replication';
 import type { RecordStore } from '../storage';
@@ -13,6 +20,9 @@
 /** Silence of a keeper after which another host may take its place; milliseconds. */
 const SILENCE_MILLISECONDS = 2000;
 
+/** Pause after which a disk that has refused a write is tried again; milliseconds. */
+const REOPEN_MILLISECONDS = 1000;
+
 /** Copies beyond those that the tolerated losses need, so that one can be replaced in peace. */
 const SPARE_VOTERS = 1;
 
@@ -23,7 +33,8 @@
   readonly directory: NodeDirectory;
   readonly founding: Founding;
   readonly peers: Caller<ClusterContract>;
-  readonly store: RecordStore;
+  /** Opens what the disk holds; called again after the disk has refused a write. */
+  readonly openStore: () => RecordStore;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -35,39 +46,17 @@
 export class ClusterMember implements Component {
   readonly #options: ClusterMemberOptions;
   readonly machine: ClusterMachine;
-  readonly #log: ReplicatedLog<CommandOutcome>;
+  #log: ReplicatedLog<CommandOutcome>;
+  #cancelReopening: CancelTimer = () => undefined;
 
   constructor(options: ClusterMemberOptions) {
     this.#options = options;
-    const { self, store, clock, random, logger, configuration, view } = options;
+    const { configuration, view } = options;
     this.machine = new ClusterMachine({
       onConfiguration: (value) => configuration.offer(value),
       onView: (value) => view.offer(value),
     });
-    const log = new ReplicatedLog<CommandOutcome>({
-      self: self.name,
-      hosts: () => this.#desiredHosts(),
-      store,
-      transport: {
-        send: (envelope) => {
-          this.#send(envelope);
-        },
-      },
-      machine: this.machine,
-      clock,
-      random,
-      onChange: () => {
-        const { role, term, leader, votes } = log;
-        logger.info({ event: 'replication', state: role, term, leader, votes });
-      },
-      onMembership: (membership, reason) => {
-        logger.info({ event: 'membership', ...membership, reason });
-      },
-      onFailure: (error) => {
-        logger.error({ event: 'cluster-state-unwritable', error: messageOf(error) });
-      },
-    });
-    this.#log = log;
+    this.#log = this.#createLog();
   }
 
   start(): Promise<void> {
@@ -75,6 +64,7 @@
   }
 
   stop(): Promise<void> {
+    this.#cancelReopening();
     return this.#log.stop();
   }
 
@@ -127,6 +117,55 @@
     return { kind: 'done', value: read() };
   }
 
+  #createLog(): ReplicatedLog<CommandOutcome> {
+    const { self, openStore, clock, random, logger } = this.#options;
+    const store = openStore();
+    const log = new ReplicatedLog<CommandOutcome>({
+      self: self.name,
+      hosts: () => this.#desiredHosts(),
+      store,
+      transport: {
+        send: (envelope) => {
+          this.#send(envelope);
+        },
+      },
+      machine: this.machine,
+      clock,
+      random,
+      onChange: () => {
+        const { role, term, leader, votes } = log;
+        logger.info({ event: 'replication', state: role, term, leader, votes });
+      },
+      onMembership: (membership, reason) => {
+        logger.info({ event: 'membership', ...membership, reason });
+      },
+      onFailure: (error) => {
+        logger.error({ event: 'cluster-state-unwritable', error: messageOf(error) });
+        this.#reopenLater(log);
+      },
+    });
+    return log;
+  }
+
+  /** Begins again on what the disk holds, as after a restart; the state takes commands twice. */
+  #reopenLater(failed: ReplicatedLog<CommandOutcome>): void {
+    const { clock, logger } = this.#options;
+    this.#cancelReopening = clock.after(REOPEN_MILLISECONDS, () => {
+      if (this.#log !== failed) return;
+      const log = this.#createLog();
+      this.#log = log;
+      log.start().then(
+        () => {
+          logger.info({ event: 'cluster-state-reopened', term: log.term });
+        },
+        (error: unknown) => {
+          logger.error({ event: 'cluster-state-not-reopened', error: messageOf(error) });
+          this.#reopenLater(log);
+        },
+      );
+    });
+  }
+
   #send(envelope: Envelope): void {
     const address = this.#options.directory.get(hostOf(envelope))?.node.address;
     if (address !== undefined) this.#options.peers.cast(address, 'cluster.replicate', [envelope]);
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,7 +1,13 @@
 import { type Clock, type Logger, MartenbayError, type Metrics } from '../core';
 import type { Route, RouteTable } from '../routes';
 import type { Placement, PlacementRequest } from '../targets';
-import { type StoreWatch, type TurnClient, type TurnRecord, TurnsUnavailable } from '../turns';
+import {
+  type ReserveOutcome,
+  type StoreWatch,
+  type TurnClient,
+  type TurnRecord,
+  TurnsUnavailable,
+} from '../turns';
 import type { Attempt } from './attempt';
 import { BODY_TOO_LARGE, placementOf } from './call-handler';
 import { EventOutput } from './event-output';
@@ -89,7 +95,7 @@
       ? PREPARE_MILLISECONDS
       : PREPARE_OUT_OF_REACH_MILLISECONDS;
     const deadline = Math.min(startedAt + patience, turn.exchange.deadline);
-    const [fits, chain] = await Promise.all([
+    const [reserved, chain] = await Promise.all([
       this.#ask(() => this.#reserve(turn, deadline)),
       this.#ask(() =>
         head.previousTurn === undefined
@@ -101,20 +107,22 @@
       step: 'prepare',
       prompt: head.promptTokens,
       parts: head.parts.length,
-      budget: fits instanceof TurnsUnavailable ? 'unknown' : fits,
+      budget: head.budget,
+      most: head.mostTokens,
+      taken: reserved instanceof TurnsUnavailable ? 'unknown' : reserved.taken,
       chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
     if (chain instanceof TurnsUnavailable) return refused(storesUnavailable(chain));
     if (chain.kind === 'absent') return refused(NO_SUCH_TURN);
-    if (fits instanceof TurnsUnavailable) return refused(storesUnavailable(fits));
-    if (!fits) return refused(BUDGET_SPENT);
+    if (reserved instanceof TurnsUnavailable) return refused(storesUnavailable(reserved));
+    if (!reserved.fits) return refused(BUDGET_SPENT);
     return { kind: 'ready', chain: chain.records };
   }
 
-  #reserve({ exchange, program, id }: Turn, deadline: number): Promise<boolean> {
+  #reserve({ exchange, program, id }: Turn, deadline: number): Promise<ReserveOutcome> {
     const { budget, mostTokens } = exchange.head;
-    if (budget === undefined) return Promise.resolve(true);
+    if (budget === undefined) return Promise.resolve({ fits: true, taken: 0 });
     const { turns } = this.#options;
     return turns.reserve({ program, turn: id, most: mostTokens, budget, deadline });
   }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -76,7 +76,15 @@
   const client = parts.createClient(self, greeter, service);
 
   const source = platform.createTargetSource(settings, logger);
-  const targets = new TargetDirectory({ source, clock, random, logger, metrics });
+  const targets = new TargetDirectory({
+    source,
+    readers: () => Math.max(1, directory.ofKind('gateway').length),
+    callsPerSecond: settings['target-list']['calls-per-second'],
+    clock,
+    random,
+    logger,
+    metrics,
+  });
   const connections = new TargetConnections(logger, metrics);
   targets.onLeaving((state) => {
     connections.forget(state);
--- a/src/nodes/node.ts
+++ b/src/nodes/node.ts
@@ -43,6 +43,8 @@
   readonly currentSettings: () => NodeSettings;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Ends the process, which can't go on and is to be started again; the reason was logged. */
+  readonly onFailure: () => void;
 }
 
 /** What every process of the system has: logs, metrics, connections and what it knows of others. */
@@ -136,7 +138,7 @@
       self,
       toleratedLosses,
       founding,
-      store: this.openStore('cluster'),
+      openStore: () => this.openStore('cluster'),
       random: this.random,
     });
     const viewKeeper = new ViewKeeper({ ...this.#shared, member, toleratedLosses });
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -17,6 +17,9 @@
 /** Pause between looks whether the settings file has changed; milliseconds. */
 const SETTINGS_MILLISECONDS = 1000;
 
+/** Time in which a process that can't go on still answers that it can't; milliseconds. */
+const FAILURE_MILLISECONDS = 300;
+
 const EXIT_CODES = { stopped: 0, failed: 1, invalid: 2 } as const;
 
 /** A process that can be run until it is told to stop. */
@@ -36,11 +39,17 @@
   const settings = loadOrExit(file);
   const clock = new SystemClock();
   const holder = new SettingsHolder(file, settings, clock);
-  const node = await create({
+  const node: RunnableNode = await create({
     settings,
     currentSettings: () => holder.current,
     clock,
     random: new SystemRandom(),
+    onFailure: () => {
+      clock.after(FAILURE_MILLISECONDS, () => {
+        node.parts.logOutput.stop();
+        process.exit(EXIT_CODES.failed);
+      });
+    },
   });
   const { logger } = node.parts;
   holder.watch(logger);
--- a/src/nodes/store-node.ts
+++ b/src/nodes/store-node.ts
@@ -1,4 +1,4 @@
-import { LifeCycle } from '../core';
+import { LifeCycle, messageOf } from '../core';
 import { Filler, TurnJournal, TurnStore } from '../turns';
 import { NodeParts, type NodePartsOptions } from './node';
 
@@ -8,7 +8,10 @@
 ): Promise<{ readonly parts: NodeParts; readonly lifeCycle: LifeCycle }> {
   const parts = new NodeParts({ ...options, kind: 'store' });
   const { clock, random, logger, metrics, view, configuration, peers } = parts;
-  const journal = new TurnJournal(parts.openStore('turns'), random);
+  const journal = new TurnJournal(parts.openStore('turns'), random, (error) => {
+    logger.fatal({ event: 'storage-failed', error: messageOf(error) });
+    options.onFailure();
+  });
   await journal.open();
   const self = parts.describe(false, journal.dataLife);
   const filler = new Filler({ self: self.name, journal, peers, clock, random, logger });
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -39,6 +39,13 @@
   readonly deadline: number;
 }
 
+/** Whether a turn's tokens fit in what is left of the budget, and what the others take of it. */
+export interface ReserveOutcome {
+  readonly fits: boolean;
+  /** Tokens that the program's other turns have generated, or may generate. */
+  readonly taken: number;
+}
+
 /** The chain that a turn continues, oldest turn first; or that there is no such turn. */
 export type ChainLookup =
   { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
@@ -58,7 +65,7 @@
    * answered, the last reserver has seen all others. Otherwise a second round is needed: it begins
    * after the reservation stands at a quorum, so of two reservers one sees the other.
    */
-  async reserve(options: ReserveOptions): Promise<boolean> {
+  async reserve(options: ReserveOptions): Promise<ReserveOutcome> {
     const { program, turn, most, deadline } = options;
     const first = await this.#atQuorum<ReservationsAnswer>({
       deadline,
@@ -68,7 +75,7 @@
         this.#call(address, 'turns.reserve', { epoch: view.epoch, program, turn, most }),
     });
     const unanimous = first.all && first.answers.every((answer) => answer.complete);
-    if (unanimous) return this.#fits(first.answers, options);
+    if (unanimous) return judge(first.answers, options);
     this.#options.metrics.count('reservations_in_two_rounds_total');
     const second = await this.#atQuorum<ReservationsAnswer>({
       deadline,
@@ -77,7 +84,7 @@
       ask: (view, { address }) =>
         this.#call(address, 'turns.reservations', { epoch: view.epoch, program }),
     });
-    return this.#fits([...first.answers, ...second.answers], options);
+    return judge([...first.answers, ...second.answers], options);
   }
 
   /** Gives a reservation back: the turn was not run. */
@@ -201,20 +208,23 @@
   #learn(answer: { readonly kind: string } | ViewMismatch): void {
     if (answer.kind === 'stale' && 'view' in answer) this.#options.view.offer(answer.view);
   }
+}
 
-  #fits(answers: readonly ReservationsAnswer[], { turn, most, budget }: ReserveOptions): boolean {
-    const others = new Map<string, Reservation>();
-    for (const { reservations } of answers) {
-      for (const reservation of reservations) {
-        if (reservation.turn === turn) continue;
-        const present = others.get(reservation.turn);
-        if (present?.settled !== true) others.set(reservation.turn, reservation);
-      }
+function judge(
+  answers: readonly ReservationsAnswer[],
+  { turn, most, budget }: ReserveOptions,
+): ReserveOutcome {
+  const others = new Map<string, Reservation>();
+  for (const { reservations } of answers) {
+    for (const reservation of reservations) {
+      if (reservation.turn === turn) continue;
+      const present = others.get(reservation.turn);
+      if (present?.settled !== true) others.set(reservation.turn, reservation);
     }
-    let taken = 0;
-    for (const { tokens } of others.values()) taken += tokens;
-    return taken + most <= budget;
   }
+  let taken = 0;
+  for (const { tokens } of others.values()) taken += tokens;
+  return { fits: taken + most <= budget, taken };
 }
 
 function accepted<Answer extends { readonly kind: string }>(
--- a/src/turns/index.ts
+++ b/src/turns/index.ts
@@ -1,5 +1,10 @@
 export { ChainCache } from './chain-cache';
-export { type ChainLookup, TurnClient, type TurnClientOptions } from './client';
+export {
+  type ChainLookup,
+  type ReserveOutcome,
+  TurnClient,
+  type TurnClientOptions,
+} from './client';
 export type { TurnContract } from './contract';
 export { TurnsUnavailable } from './errors';
 export { Filler } from './filler';
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -45,14 +45,21 @@
 export class TurnJournal {
   readonly #store: RecordStore;
   readonly #random: RandomSource;
+  readonly #onFailure: (error: unknown) => void;
   readonly table = new TurnTable();
   #own: OwnState = { dataLife: '', completeFor: 0 };
   #characters = 0;
   #compacting = false;
 
-  constructor(store: RecordStore, random: RandomSource) {
+  /** `onFailure` is called when the disk refuses a write: what it holds is not known any more. */
+  constructor(
+    store: RecordStore,
+    random: RandomSource,
+    onFailure: (error: unknown) => void = () => undefined,
+  ) {
     this.#store = store;
     this.#random = random;
+    this.#onFailure = onFailure;
   }
 
   async open(): Promise<void> {
@@ -104,7 +111,12 @@
   async #append(lines: readonly string[]): Promise<void> {
     for (const line of lines) this.#characters += line.length;
     // An empty append waits for those before it, which may hold the same row.
-    await this.#store.append(lines.length > 0 ? lines : [EMPTY_LINE]);
+    try {
+      await this.#store.append(lines.length > 0 ? lines : [EMPTY_LINE]);
+    } catch (error) {
+      this.#onFailure(error);
+      throw error;
+    }
     if (this.#characters > COMPACT_CHARACTERS && !this.#compacting) await this.#compact();
   }
 
--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -77,7 +77,7 @@
       stores.letThrough(['b t1', 'c t2', 'a t3', 'a t1', 'b t2', 'c t3']);
       await settle();
       clock.advance(20);
-      const granted = (await answers).filter(Boolean);
+      const granted = (await answers).filter(({ fits }) => fits);
       expect(granted.length).toBeLessThanOrEqual(2);
     });
   });
@@ -85,9 +85,9 @@
   describe('where all stores answer', () => {
     it('grants what fits in one round', async () => {
       const client = createClient(new NotingStores(), new ManualClock());
-      expect(await reserve(client, 't1')).toBe(true);
-      expect(await reserve(client, 't2')).toBe(true);
-      expect(await reserve(client, 't3')).toBe(false);
+      expect(await reserve(client, 't1')).toMatchObject({ fits: true });
+      expect(await reserve(client, 't2')).toMatchObject({ fits: true });
+      expect(await reserve(client, 't3')).toMatchObject({ fits: false });
     });
   });
 });
--- a/src/turns/tests/store-run.ts
+++ b/src/turns/tests/store-run.ts
@@ -129,7 +129,7 @@
       budget,
       deadline: clock.monotonic() + 1000,
     };
-    turns.reserve(request).then((fits) => {
+    turns.reserve(request).then(({ fits }) => {
       if (!fits) return;
       const granted = (this.#granted.get(program) ?? 0) + MOST;
       this.#granted.set(program, granted);
