--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -27,7 +27,7 @@
   readonly address: Address;
   readonly wire: Wire;
   readonly forwarder: Forwarder;
-  readonly turnHandler: TurnHandler;
+  readonly turnHandler: Pick<TurnHandler, 'handle'>;
   readonly routes: () => RouteTable | undefined;
   /** Whether callers are well served here; if not they are told to open another connection. */
   readonly isReady: () => boolean;
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -2,7 +2,7 @@
 import { type Address, Metrics, SystemClock, createSilentLogger } from '../../core';
 import { findFreeAddresses } from '../../local';
 import { RouteTable } from '../../routes';
-import { type Forwarder, GatewayServer, type TurnHandler, type Wire } from '..';
+import { type Forwarder, GatewayServer, type Wire } from '..';
 
 const WIRE: Wire = {
   readRequest: () => ({
@@ -91,7 +91,7 @@
       address,
       wire: WIRE,
       forwarder: forwarder as unknown as Forwarder,
-      turnHandler: {} as TurnHandler,
+      turnHandler: { handle: () => Promise.resolve() },
       routes: () => TABLE,
       isReady: () => false,
       clock: new SystemClock(),
