--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -9,6 +9,6 @@
 export { Newest } from './newest';
 export type { KnownNode, NodeInfo, NodeKind, NodeStatus } from './node';
 export { ClusterService, type KeeperParts } from './service';
-export { FIRST_EPOCH, type StoreView, type ViewMember, viewSizeFor } from './view';
+export { FIRST_EPOCH, type StoreView, type ViewMember, storeViewSchema, viewSizeFor } from './view';
 export { ViewKeeper } from './view-keeper';
 export { type ViewPlanInput, type ViewStep, planView } from './view-plan';
--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -1,27 +1,13 @@
 import * as z from 'zod';
 import type { StateMachine } from '../replication';
 import type { VersionedConfiguration } from './contract';
-import type { RetirementState, StoreView } from './view';
-
-const viewMemberSchema = z.object({
-  name: z.string(),
-  address: z.string(),
-  availabilityZone: z.string(),
-  dataLife: z.string(),
-  joined: z.int(),
-});
-
-const viewSchema = z.object({
-  epoch: z.int(),
-  members: z.array(viewMemberSchema).readonly(),
-  quorum: z.int(),
-});
+import { type RetirementState, type StoreView, storeViewSchema } from './view';
 
 const retirementStateSchema = z.enum(['running', 'completed']);
 
 const commandSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('configure'), version: z.number(), text: z.string() }),
-  z.object({ kind: z.literal('view'), view: viewSchema }),
+  z.object({ kind: z.literal('view'), view: storeViewSchema }),
   z.object({ kind: z.literal('retire'), store: z.string(), state: retirementStateSchema }),
 ]);
 
@@ -33,7 +19,7 @@
 
 const rowSchema = z.discriminatedUnion('table', [
   z.object({ table: z.literal('configuration'), version: z.number(), text: z.string() }),
-  z.object({ table: z.literal('view'), view: viewSchema }),
+  z.object({ table: z.literal('view'), view: storeViewSchema }),
   z.object({ table: z.literal('retirement'), store: z.string(), state: retirementStateSchema }),
 ]);
 
--- a/src/cluster/view.ts
+++ b/src/cluster/view.ts
@@ -1,22 +1,29 @@
-/** One store that keeps copies of the turns. */
-export interface ViewMember {
-  readonly name: string;
+import * as z from 'zod';
+
+const viewMemberSchema = z.object({
+  name: z.string(),
   /** IP:port of its connections with other processes. */
-  readonly address: string;
-  readonly availabilityZone: string;
+  address: z.string(),
+  availabilityZone: z.string(),
   /** Life of its data folder; a store that lost its disk comes back under another one. */
-  readonly dataLife: string;
+  dataLife: z.string(),
   /** Epoch at which it was taken in, from which it has had to be filled by the others. */
-  readonly joined: number;
-}
+  joined: z.int(),
+});
 
-/** The stores that keep the turns; a change of them is a new epoch. */
-export interface StoreView {
-  readonly epoch: number;
-  readonly members: readonly ViewMember[];
+/** Schema of a {@link StoreView} where it is kept on a disk. */
+export const storeViewSchema = z.object({
+  epoch: z.int(),
+  members: z.array(viewMemberSchema.readonly()).readonly(),
   /** Copies that a record needs before it counts, and members that must speak for an absence. */
-  readonly quorum: number;
-}
+  quorum: z.int(),
+});
+
+/** One store that keeps copies of the turns. */
+export type ViewMember = Readonly<z.output<typeof viewMemberSchema>>;
+
+/** The stores that keep the turns; a change of them is a new epoch. */
+export type StoreView = Readonly<z.output<typeof storeViewSchema>>;
 
 /** Epoch of the first view, whose members need no filling. */
 export const FIRST_EPOCH = 1;
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { deserialize, serialize } from 'node:v8';
 import { LinkError } from './errors';
 
@@ -64,3 +65,12 @@
     return joined;
   }
 }
+
+/** Writes a frame to a connection in one go. */
+export function writeFrame(socket: Socket, frame: Frame): void {
+  const [length, payload] = encodeFrame(frame);
+  socket.cork();
+  socket.write(length);
+  socket.write(payload);
+  socket.uncork();
+}
--- a/src/link/listener.ts
+++ b/src/link/listener.ts
@@ -1,7 +1,7 @@
 import { type Server, type Socket, createServer } from 'node:net';
 import { type Address, type Component, type Logger, messageOf } from '../core';
 import type { CallHandlers, CastHandlers, Contract } from './contract';
-import { type Frame, FrameDecoder, encodeFrame } from './frame';
+import { type Frame, FrameDecoder, writeFrame } from './frame';
 import { CHECK_METHOD } from './peer';
 
 export interface LinkListenerOptions<C extends Contract> {
@@ -89,9 +89,5 @@
 
 function send(socket: Socket, frame: Frame): void {
   if (socket.destroyed) return;
-  const [length, payload] = encodeFrame(frame);
-  socket.cork();
-  socket.write(length);
-  socket.write(payload);
-  socket.uncork();
+  writeFrame(socket, frame);
 }
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -1,7 +1,7 @@
 import { type Socket, connect } from 'node:net';
 import { type Address, type CancelTimer, type Clock, formatAddress } from '../core';
 import { LinkError } from './errors';
-import { type Frame, FrameDecoder, encodeFrame } from './frame';
+import { type Frame, FrameDecoder, writeFrame } from './frame';
 
 /** Longest time to open a connection; a round trip inside a region takes 3 ms. */
 const CONNECT_MILLISECONDS = 700;
@@ -84,11 +84,7 @@
   #write(frame: Frame): boolean {
     const socket = this.#socket ?? this.#open();
     if (socket === undefined || socket.writableLength > BACKLOG_LIMIT_BYTES) return false;
-    const [length, payload] = encodeFrame(frame);
-    socket.cork();
-    socket.write(length);
-    socket.write(payload);
-    socket.uncork();
+    writeFrame(socket, frame);
     this.#sentSinceCheck = true;
     return true;
   }
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type { StoreView } from '../cluster';
+import { type StoreView, storeViewSchema } from '../cluster';
 import type { RandomSource } from '../core';
 import type { RecordStore } from '../storage';
 import { type TurnRow, decodeRow, encodeRow } from './records';
@@ -10,25 +10,9 @@
 
 const LIFE_BYTES = 8;
 
-const viewSchema = z.object({
-  epoch: z.int(),
-  quorum: z.int(),
-  members: z
-    .array(
-      z.object({
-        name: z.string(),
-        address: z.string(),
-        availabilityZone: z.string(),
-        dataLife: z.string(),
-        joined: z.int(),
-      }),
-    )
-    .readonly(),
-});
-
 const ownSchema = z.tuple([
   z.literal('own'),
-  z.object({ dataLife: z.string(), completeFor: z.int(), view: viewSchema.optional() }),
+  z.object({ dataLife: z.string(), completeFor: z.int(), view: storeViewSchema.optional() }),
 ]);
 
 /** What a store keeps about itself. */
