A reset that comes together with data is no end of an answer

Cause: libuv tells a hang-up with a partial read as the end of the stream, so a reset in the same poll as the last data reaches Node as 'end', without an error. An answer without length was then whole for the caller. After an end the socket still has its peer, after a reset it has none.

Ruled out: the caller's side (it was told the answer was whole), undici alone (the socket itself gives no error).

Also out: the operators' address in a node's description, which nobody read, and a wrapping for nothing in the stores' test.

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -8,8 +8,6 @@
   readonly kind: NodeKind;
   /** IP:port of its connections with other processes. */
   readonly address: string;
-  /** IP:port at which operators call it; empty where they don't. */
-  readonly operatorAddress: string;
   readonly availabilityZone: string;
   /** Whether its disk holds a copy of the cluster's state. */
   readonly keepsClusterState: boolean;
--- a/src/cluster/tests/member.test.ts
+++ b/src/cluster/tests/member.test.ts
@@ -41,7 +41,6 @@
         name: 'g',
         kind: 'gateway',
         address,
-        operatorAddress: '',
         availabilityZone: 'a',
         keepsClusterState: true,
         run: '',
--- a/src/cluster/tests/view-plan.test.ts
+++ b/src/cluster/tests/view-plan.test.ts
@@ -15,7 +15,6 @@
       name,
       kind: 'store',
       address,
-      operatorAddress: '',
       availabilityZone: zone,
       keepsClusterState: false,
       run: '',
--- a/src/nodes/node.ts
+++ b/src/nodes/node.ts
@@ -87,12 +87,11 @@
   };
 
   describe(keepsClusterState: boolean, dataLife: string): NodeInfo {
-    const { node, listen } = this.settings;
+    const { node } = this.settings;
     return {
       name: node.name,
       kind: this.#options.kind,
       address: node.address,
-      operatorAddress: listen.operators ?? '',
       availabilityZone: node['availability-zone'],
       keepsClusterState,
       run: this.random.hex(RUN_BYTES),
--- a/src/targets/connections.ts
+++ b/src/targets/connections.ts
@@ -114,7 +114,11 @@
 
 type Connector = Extract<ClientType.Options['connect'], (...parameters: never[]) => unknown>;
 
-/** Opens sockets whose errors are told before undici hears of them. */
+/**
+ * Opens sockets whose errors are told before undici hears of them. A reset that arrives together
+ * with data shows as an end to Node, since libuv reports the hang-up alone; the socket then has no
+ * peer any more, while after an end it still has.
+ */
 function connectorTo(address: string, onError: () => void): Connector {
   const { host, port } = parseAddress(address);
   return (_options, callback) => {
@@ -126,6 +130,9 @@
       callback(error, null);
     };
     socket.on('error', onError);
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) onError();
+    });
     socket.once('timeout', onTimeout);
     socket.once('error', onFailedConnect);
     socket.once('connect', () => {
--- a/src/turns/tests/store-cluster.ts
+++ b/src/turns/tests/store-cluster.ts
@@ -144,7 +144,7 @@
       silenceCounts,
     });
     if (step?.kind === 'view') this.#planned = step.view;
-    const { view } = { view: this.#planned };
+    const view = this.#planned;
     if (view === undefined) return;
     for (const host of this.#hosts.values()) {
       if (host.alive && !this.#cut.has(host.name)) host.view.offer(view);
@@ -234,7 +234,6 @@
       name,
       kind: 'store',
       address: name,
-      operatorAddress: '',
       availabilityZone: name,
       keepsClusterState: false,
       run: '',
