Connection limits, engine memory, aims and programs' time are used

Connection limit: a target with as many requests under way as it takes connections from all gateways is passed over; with none left the request is refused as not run. Engine memory: parts are forgotten by tokens, the one unused for longest first, in place of 4,096 parts. Aim: a log field and a counter of late answers. A program's remaining time: a log field. The key of equal objects is not decoded any more: nothing uses it, and no measurement speaks for it yet.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -49,6 +49,7 @@
   readonly #goneListeners = new Set<() => void>();
   readonly #decisions: Record<string, unknown>[] = [];
   #hasLeft = false;
+  #beganAt: number | undefined;
   #route: Route | undefined;
 
   constructor(options: ExchangeOptions) {
@@ -112,6 +113,7 @@
 
   /** Begins the answer of a target. */
   begin(status: number, rawHeaders: readonly string[]): void {
+    this.#beganAt = this.#options.clock.monotonic();
     this.#markClosing();
     this.response.writeHead(status, [...rawHeaders]);
   }
@@ -152,18 +154,28 @@
     const kind = this.#route?.kind ?? 'none';
     metrics.count(`requests_total{kind="${kind}",outcome="${outcome}"}`);
     metrics.observe(`request_${kind}`, milliseconds);
+    const late = this.#isLate();
+    if (late) metrics.count(`late_requests_total{kind="${kind}"}`);
     logger.info({
       event: 'request',
       request: this.head.id,
       program: this.head.program,
+      programMilliseconds: this.head.programMilliseconds,
       route: this.#route?.name,
       outcome,
       ...details,
       milliseconds: Math.round(milliseconds),
+      late,
       decisions: this.#decisions,
     });
   }
 
+  /** Whether the answer began later than the route aims at; nothing if none began. */
+  #isLate(): boolean | undefined {
+    if (this.#beganAt === undefined || this.#route === undefined) return undefined;
+    return this.#beganAt - this.arrivedAt > this.#route.aimMilliseconds;
+  }
+
   #markClosing(): void {
     if (this.#options.closes()) this.response.shouldKeepAlive = false;
   }
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -119,10 +119,13 @@
     service: string,
     placer: Placer,
     tried: ReadonlySet<string>,
-    { placement }: ForwardRequest,
+    { placement, table }: ForwardRequest,
   ): Placement | undefined {
     const { targets, random } = this.#options;
-    const candidates = targets.ofService(service).filter(({ target }) => !tried.has(target.id));
+    const limit = table.service(service)?.connectionLimit ?? Infinity;
+    const candidates = targets
+      .ofService(service)
+      .filter(({ target, load }) => !tried.has(target.id) && load < limit);
     return placer.place(candidates, placement, random);
   }
 
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -8,7 +8,6 @@
   readRequest: () => ({
     id: 'r1',
     waitMilliseconds: undefined,
-    affinityKey: undefined,
     program: undefined,
     programMilliseconds: undefined,
     budget: undefined,
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Logger, MartenbayError, type Metrics } from '../core';
-import type { Route, RouteTable } from '../routes';
+import type { EngineSettings, Route, RouteTable } from '../routes';
 import type { Placement, PlacementRequest } from '../targets';
 import {
   type ReserveOutcome,
@@ -195,9 +195,9 @@
   async #complete(turn: Turn, output: EventOutput, placed: Placement | undefined): Promise<void> {
     const { exchange, route, table, id, program, input } = turn;
     const { clock, turns, metrics } = this.#options;
-    const tokensPerEvent = tokensPerEventOf(table, placed);
-    const tokens = output.count * tokensPerEvent;
-    placed?.state.noteParts(exchange.head.parts, tokens);
+    const engine = engineOf(table, placed);
+    const tokens = output.count * (engine?.tokensPerEvent ?? 1);
+    placed?.state.noteParts(exchange.head.parts, tokens, engine?.cacheTokens ?? Infinity);
     if (route.retentionSeconds !== undefined) {
       const startedAt = clock.monotonic();
       try {
@@ -289,7 +289,6 @@
   return Math.min(first + priority * step, last);
 }
 
-function tokensPerEventOf(table: RouteTable, placed: Placement | undefined): number {
-  const service = placed === undefined ? undefined : table.service(placed.state.target.service);
-  return service?.engine?.tokensPerEvent ?? 1;
+function engineOf(table: RouteTable, placed: Placement | undefined): EngineSettings | undefined {
+  return placed === undefined ? undefined : table.service(placed.state.target.service)?.engine;
 }
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -6,8 +6,6 @@
   readonly id: string | undefined;
   /** How long the caller waits, from the time it sent the request. */
   readonly waitMilliseconds: number | undefined;
-  /** Equal for requests about the same object. */
-  readonly affinityKey: string | undefined;
   readonly program: string | undefined;
   /** Time that remains until the whole program should be over. */
   readonly programMilliseconds: number | undefined;
--- a/src/routes/configuration.ts
+++ b/src/routes/configuration.ts
@@ -22,7 +22,7 @@
   readonly kind: RequestKind;
   /** Longest time that a request is held. */
   readonly timeoutMilliseconds: number;
-  /** Time within which an answer is on time. */
+  /** Time within which an answer should begin. */
   readonly aimMilliseconds: number;
   /** 0 goes first. */
   readonly priority: number;
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -7,14 +7,12 @@
 /** Longest such time; the list drops a crashed server after some seconds. Milliseconds. */
 const LONGEST_PAUSE_MILLISECONDS = 3000;
 
-/** Prompt parts remembered for each engine. */
-const PART_LIMIT = 4096;
-
 /** What this process knows of one target. */
 export class TargetState {
   readonly #clock: Clock;
   /** Tokens by part, the latest used last. */
   readonly #parts = new Map<string, number>();
+  #partTokens = 0;
   target: ListedTarget;
   /** Requests of this process that are under way there. */
   inFlight = 0;
@@ -54,19 +52,28 @@
     this.#pausedUntil = this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
   }
 
-  /** Notes what the engine has read, and generated behind the last part. */
-  noteParts(parts: readonly PromptPart[], generatedTokens: number): void {
+  /**
+   * Notes what the engine has read, and generated behind the last part. Parts that were unused for
+   * longest are forgotten where the engine's memory, in tokens, can't hold them any more.
+   */
+  noteParts(parts: readonly PromptPart[], generatedTokens: number, memoryTokens: number): void {
     parts.forEach(({ id, tokens }, index) => {
+      this.#forget(id);
       const held = index === parts.length - 1 ? tokens + generatedTokens : tokens;
-      this.#parts.delete(id);
       this.#parts.set(id, held);
+      this.#partTokens += held;
     });
     for (const id of this.#parts.keys()) {
-      if (this.#parts.size <= PART_LIMIT) break;
-      this.#parts.delete(id);
+      if (this.#partTokens <= memoryTokens) break;
+      this.#forget(id);
     }
   }
 
+  #forget(id: string): void {
+    this.#partTokens -= this.#parts.get(id) ?? 0;
+    this.#parts.delete(id);
+  }
+
   /** Tokens of a prompt that the engine has read before, from its beginning on. */
   heldTokens(parts: readonly PromptPart[]): number {
     let held = 0;
--- a/src/targets/tests/balancer.test.ts
+++ b/src/targets/tests/balancer.test.ts
@@ -4,6 +4,7 @@
 
 const CLOCK = new ManualClock();
 const RANDOM = new SeededRandom(1);
+const MEMORY_TOKENS = 200_000;
 
 function target(id: string, availabilityZone = 'a', slots = 6): TargetState {
   const listed = { id, service: 's', address: '10.0.0.1:80', availabilityZone, slots };
@@ -29,15 +30,24 @@
 
     it('counts what the engine read of it, and what it generated', () => {
       const state = target('e1');
-      state.noteParts(said, 30);
+      state.noteParts(said, 30, MEMORY_TOKENS);
       expect(state.heldTokens(grown)).toBe(2500 + 1230);
     });
 
+    it('forgets what the engine has no memory for, the part unused for longest first', () => {
+      const state = target('e1');
+      state.noteParts([{ id: 'old', tokens: 2000 }], 0, 4000);
+      state.noteParts(said, 30, 4000);
+      state.noteParts(said, 30, 4000);
+      expect(state.heldTokens([{ id: 'old', tokens: 2000 }])).toBe(0);
+      expect(state.heldTokens(said)).toBe(3700);
+    });
+
     it('stays with the engine that holds it, though others are idle', () => {
       const holding = target('e1');
       const idle = target('e2');
-      idle.noteParts(said.slice(0, 1), 0);
-      holding.noteParts(said, 30);
+      idle.noteParts(said.slice(0, 1), 0, MEMORY_TOKENS);
+      holding.noteParts(said, 30, MEMORY_TOKENS);
       holding.inFlight = 5;
       const placed = placer.place(
         [idle, holding],
@@ -60,7 +70,7 @@
 
     it('leaves an engine whose company costs more than reading it again', () => {
       const holding = target('e1');
-      holding.noteParts(said, 30);
+      holding.noteParts(said, 30, MEMORY_TOKENS);
       holding.inFlightElsewhere = 60;
       const placed = placer.place(
         [holding, target('e2')],
