Raft in parts: log, ballot, election timer, replicator

The order of writes moved from ReplicatedLog to OutputWriter. The circle between configuration's check and parse is gone: ParsedFile stands with the schema.

--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -1,6 +1,5 @@
 import type { Issue } from '../core';
-import type { ParsedFile } from './parse';
-import type { ConfigurationFile, Service } from './schema';
+import type { ConfigurationFile, ParsedFile, Service } from './schema';
 
 /** Sections whose entries have names. */
 type NamedSection = 'availability-zone' | 'team' | 'budget' | 'program' | 'service' | 'pool';
--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -1,17 +1,11 @@
 import { Err, Ok, type Result } from 'ts-results';
 import { type Issue, MartenbayError, digestValue, issuesOf, parseDocument } from '../core';
 import { checkReferences } from './check';
-import { type Configuration, type ConfigurationFile, type SourceFile, fileSchema } from './schema';
+import { type Configuration, type ParsedFile, type SourceFile, fileSchema } from './schema';
 
 /** A directory of operators' files is not valid; carries every issue of every file. */
 export class ConfigurationError extends MartenbayError {}
 
-/** One parsed file with its name, for messages. */
-export interface ParsedFile {
-  readonly name: string;
-  readonly content: ConfigurationFile;
-}
-
 /** Digest that, with the number, identifies a directory. */
 export function digestFiles(files: readonly SourceFile[]): string {
   const sorted = [...files].sort((left, right) => (left.name < right.name ? -1 : 1));
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -100,6 +100,12 @@
 });
 
 export type ConfigurationFile = Readonly<z.output<typeof fileSchema>>;
+
+/** One parsed file with its name, for messages. */
+export interface ParsedFile {
+  readonly name: string;
+  readonly content: ConfigurationFile;
+}
 export type AvailabilityZone = Readonly<z.output<typeof availabilityZoneSchema>>;
 export type Distance = Readonly<z.output<typeof distanceSchema>>;
 export type Team = Readonly<z.output<typeof teamSchema>>;
--- a/src/replication/compactor.ts
+++ b/src/replication/compactor.ts
@@ -1,7 +1,8 @@
 import type { RecordStore } from '../storage';
 import type { StateMachine } from './log-options';
 import type { LogEntry } from './messages';
-import type { RaftMember, SnapshotHead } from './raft';
+import type { SnapshotHead } from './member-log';
+import type { RaftMember } from './raft';
 import { encodeSnapshot, encodeTail } from './records';
 
 export interface CompactorOptions {
@@ -45,7 +46,7 @@
     this.#characters = 0;
     return store.compact({
       snapshot: encodeSnapshot(head, rows),
-      records: encodeTail(incarnation, member.hardState, member.entriesBehind(head.position)),
+      records: encodeTail(incarnation, member.hardState, member.log.entriesBehind(head.position)),
       exclusive: true,
     });
   }
@@ -57,13 +58,13 @@
   async compactWhenDue(appliedIndex: number): Promise<void> {
     const { member } = this.#options;
     const large = this.#characters >= this.#characterLimit;
-    const due = large || appliedIndex - member.base.index >= this.#entryLimit;
+    const due = large || appliedIndex - member.log.base.index >= this.#entryLimit;
     if (!due || this.#working) return;
     this.#working = true;
     try {
       await this.#compact(appliedIndex);
       const kept = large ? 0 : Math.floor(this.#entryLimit * KEPT_SHARE);
-      if (appliedIndex - kept > member.base.index) member.compactTo(appliedIndex - kept);
+      if (appliedIndex - kept > member.log.base.index) member.log.compactTo(appliedIndex - kept);
     } finally {
       this.#working = false;
     }
@@ -71,12 +72,12 @@
 
   async #compact(index: number): Promise<void> {
     const { store, member, incarnation, machine } = this.#options;
-    const snapshot = encodeSnapshot(member.headAt(index), machine.snapshot());
+    const snapshot = encodeSnapshot(member.log.headAt(index), machine.snapshot());
     this.#characters = 0;
     const finish = await machine.flush?.();
     // A snapshot from the leader may have come in between, which is newer.
-    if (member.base.index > index) return;
-    const tail = member.entriesBetween(index + 1, member.lastIndex);
+    if (member.log.base.index > index) return;
+    const tail = member.log.range(index + 1, member.lastIndex);
     const records = encodeTail(incarnation, member.hardState, tail);
     await store.compact({ snapshot, records, exclusive: false });
     await finish?.();
--- a/src/replication/index.ts
+++ b/src/replication/index.ts
@@ -9,7 +9,8 @@
 } from './messages';
 export { type Membership, allMembers, nameOf } from './membership';
 export type { RaftOutput } from './outbox';
-export { RaftMember, type RaftOptions, type RaftRole } from './raft';
+export { RaftMember } from './raft';
+export type { RaftOptions, RaftRole } from './raft-options';
 export type {
   LogView,
   ReplicatedLogOptions,
--- a/src/replication/log-options.ts
+++ b/src/replication/log-options.ts
@@ -1,8 +1,8 @@
 import type { CancelTimer, Clock, RandomSource } from '../core';
 import type { RecordStore } from '../storage';
 import type { Membership } from './membership';
-import type { RaftRole } from './raft';
 import type { Envelope } from './messages';
+import type { RaftRole } from './raft-options';
 
 /** Carries messages to other members; delivery may fail, repeat or come out of order. */
 export interface ReplicationTransport {
--- a/src/replication/records.ts
+++ b/src/replication/records.ts
@@ -4,7 +4,7 @@
 import { type Membership, NO_MEMBERS, membershipSchema } from './membership';
 import { type HardState, type LogEntry, logEntrySchema } from './messages';
 import type { RaftOutput } from './outbox';
-import type { SnapshotHead } from './raft';
+import type { SnapshotHead } from './member-log';
 
 /** What a member writes to its record store, in the order it happened. */
 const recordSchema = z.discriminatedUnion('kind', [
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -6,10 +6,10 @@
 import { MembershipKeeper } from './membership-keeper';
 import type { LogView, ReplicatedLogOptions } from './log-options';
 import type { Envelope, LogEntry, RaftMessage, SnapshotPart } from './messages';
-import type { RaftOutput } from './outbox';
+import { OutputWriter } from './output-writer';
 import { Proposals } from './proposals';
 import { RaftMember } from './raft';
-import { type StoredMember, encodeOutput, loadMember } from './records';
+import { type StoredMember, loadMember } from './records';
 import { SnapshotExchange } from './snapshot-exchange';
 import { type ReceivedSnapshot, buildInstalledAnswer } from './snapshot-transfer';
 
@@ -36,12 +36,12 @@
 export class ReplicatedLog<Result> implements Component, LogView {
   readonly #options: ReplicatedLogOptions<Result>;
   readonly #proposals = new Proposals<Result>();
+  readonly #writer: OutputWriter;
   #incarnation = '';
   #parts: Parts | undefined;
   #cancelTick: CancelTimer = () => undefined;
   #appliedIndex = 0;
   #installing = false;
-  #syncing: Promise<void> = Promise.resolve();
   #failed = false;
   #handingOver: Promise<void> | undefined;
   #lastChange = '';
@@ -49,6 +49,16 @@
 
   constructor(options: ReplicatedLogOptions<Result>) {
     this.#options = options;
+    this.#writer = new OutputWriter({
+      store: options.store,
+      onSynced: ({ lastIndex, lastTerm }) => {
+        this.#member.synced(lastIndex, lastTerm);
+        void this.#pump();
+      },
+      onFailure: (error) => {
+        this.#fail(error);
+      },
+    });
   }
 
   async start(): Promise<void> {
@@ -104,8 +114,9 @@
     await this.handOver();
     this.#cancelTick();
     this.#failed = true;
+    this.#writer.stop();
     this.#proposals.rejectAll('the member is stopping');
-    await this.#syncing;
+    await this.#writer.idle;
     await this.#options.store.close();
   }
 
@@ -148,7 +159,7 @@
 
   /** Entries held in memory behind the last snapshot. */
   get entriesHeld(): number {
-    return this.#member.lastIndex - this.#member.base.index;
+    return this.#member.lastIndex - this.#member.log.base.index;
   }
 
   /** Whether this member leads and its state holds every acknowledged command. */
@@ -224,24 +235,27 @@
   #takePart(member: RaftMember, part: SnapshotPart): void {
     if (part.term < member.term) return;
     const received = this.#started.snapshots.onPart(part);
-    if (received !== undefined) this.#syncing = this.#install(member, part, received);
+    if (received !== undefined) this.#install(member, part, received);
   }
 
   /** Until the snapshot is synced this member says nothing: what it would say may rest on it. */
-  async #install(
-    member: RaftMember,
-    part: SnapshotPart,
-    { head, rows }: ReceivedSnapshot,
-  ): Promise<void> {
-    if (head.position.index <= member.commitIndex) {
+  #install(member: RaftMember, part: SnapshotPart, snapshot: ReceivedSnapshot): void {
+    if (snapshot.head.position.index <= member.commitIndex) {
       this.#sendByTransport(buildInstalledAnswer(part, this.identity, member.commitIndex));
       return;
     }
     this.#installing = true;
-    await this.#syncing;
+    this.#writer.insert(() => this.#replace(member, part, snapshot));
+  }
+
+  async #replace(
+    member: RaftMember,
+    part: SnapshotPart,
+    { head, rows }: ReceivedSnapshot,
+  ): Promise<void> {
     try {
       await this.#started.compactor.replaceBy(head, rows);
-      member.install(head);
+      member.log.install(head);
       this.#options.machine.restore(rows);
       this.#appliedIndex = head.position.index;
       this.#sendByTransport(buildInstalledAnswer(part, this.identity, head.position.index));
@@ -266,7 +280,8 @@
     if (this.#failed || this.#installing || this.#parts === undefined) return Promise.resolve();
     const output = this.#member.takeOutput();
     for (const envelope of output.messages) send(envelope);
-    const synced = this.#sync(output, send);
+    const { lastIndex, lastTerm } = this.#member;
+    const synced = this.#writer.write(output, { lastIndex, lastTerm }, send);
     this.#applyCommitted();
     for (const peer of output.snapshotsFor) this.#sendSnapshot(peer);
     this.#noticeChange();
@@ -282,34 +297,15 @@
 
   #sendSnapshot(peer: string): void {
     const { machine, clock } = this.#options;
-    const head = this.#member.headAt(this.#appliedIndex);
+    const head = this.#member.log.headAt(this.#appliedIndex);
     const rows = machine.transfer?.() ?? machine.snapshot();
     this.#started.snapshots.begin(peer, this.term, head, rows, clock.monotonic());
   }
 
-  #sync(output: RaftOutput, send: Send): Promise<void> {
-    const records = encodeOutput(output);
-    if (records.length === 0 && output.messagesAfterSync.length === 0) return Promise.resolve();
-    const { lastIndex, lastTerm } = this.#member;
-    const written = records.length === 0 ? this.#syncing : this.#options.store.append(records);
-    this.#syncing = Promise.all([this.#syncing, written]).then(
-      () => {
-        if (this.#failed) return;
-        for (const envelope of output.messagesAfterSync) send(envelope);
-        this.#member.synced(lastIndex, lastTerm);
-        void this.#pump();
-      },
-      (error: unknown) => {
-        this.#fail(error);
-      },
-    );
-    return this.#syncing;
-  }
-
   #applyCommitted(): void {
     const { commitIndex } = this.#member;
     if (commitIndex === this.#appliedIndex) return;
-    const entries = this.#member.entriesBetween(this.#appliedIndex + 1, commitIndex);
+    const entries = this.#member.log.range(this.#appliedIndex + 1, commitIndex);
     for (const entry of entries) this.#applyEntry(entry);
   }
 
@@ -355,6 +351,7 @@
   #fail(error: unknown): void {
     if (this.#failed) return;
     this.#failed = true;
+    this.#writer.stop();
     this.#cancelTick();
     this.#proposals.rejectAll('the disk failed');
     this.#options.onFailure?.(error);
--- a/src/replication/snapshot-exchange.ts
+++ b/src/replication/snapshot-exchange.ts
@@ -1,5 +1,5 @@
 import type { Envelope, SnapshotAnswer, SnapshotPart } from './messages';
-import type { SnapshotHead } from './raft';
+import type { SnapshotHead } from './member-log';
 import { type ReceivedSnapshot, SnapshotReceiving, SnapshotSending } from './snapshot-transfer';
 
 /** Pause after which an unanswered part is sent again; milliseconds. */
--- a/src/replication/snapshot-transfer.ts
+++ b/src/replication/snapshot-transfer.ts
@@ -1,5 +1,5 @@
 import type { RaftEnvelope, SnapshotAnswer, SnapshotPart } from './messages';
-import type { SnapshotHead } from './raft';
+import type { SnapshotHead } from './member-log';
 
 /** Size from which a part is sent; characters. */
 const PART_CHARACTERS = 512 * 1024;
--- a/src/replication/tests/member-cluster.ts
+++ b/src/replication/tests/member-cluster.ts
@@ -248,7 +248,7 @@
       if (first.length > 1) this.#violations.push('two members hold a read lease');
     }
     const from = (this.#checkedUpTo.get(name) ?? 0) + 1;
-    for (const entry of member.entriesBetween(from, member.commitIndex)) {
+    for (const entry of member.log.range(from, member.commitIndex)) {
       const known = this.#committed.get(entry.index);
       if (known === undefined) this.#committed.set(entry.index, entry);
       else if (known.term !== entry.term || known.command !== entry.command) {
