Turns without stores are refused at once, and come back after a second

Ruled out: the stores' own recovery (answered 0.1 s after their start) and the election (0.6 s, shorter than the stores' absence).

Change: while no quorum is reached a turn is tried for 45 ms, a quarter of the shortest aim, and told to come back after a second; so is a request before a configuration is known. Nothing is held back: the refusal is true at once. Two tests, the first seen failing before.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -20,8 +20,11 @@
 /** Longest wait for a whole request, however slowly it comes; milliseconds. */
 const REQUEST_MILLISECONDS = 60_000;
 
-/** Pause that a refusal asks for while no configuration is known; seconds. */
-const CONFIGURATION_RETRY_SECONDS = 0.5;
+/**
+ * Pause that a refusal asks for while no configuration is known; an election after a start of all
+ * processes takes 0.6 s, and stores start after gateways. Seconds.
+ */
+const CONFIGURATION_RETRY_SECONDS = 1;
 
 export interface GatewayServerOptions {
   readonly address: Address;
--- /dev/null
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -0,0 +1,55 @@
+import { Metrics, createSilentLogger } from '../../core';
+import { ManualClock } from '../../core/tests/manual-clock';
+import type { Route, RouteTable } from '../../routes';
+import { type TurnClient, TurnsUnavailable } from '../../turns';
+import type { Exchange, Refusal } from '../exchange';
+import type { Forwarder } from '../forwarder';
+import { TurnHandler } from '../turn-handler';
+
+const ROUTE = { name: 'r', kind: 'stream', retentionSeconds: 60 } as unknown as Route;
+const TABLE = { configuration: { limits: { bodyBytes: 1000 } } } as unknown as RouteTable;
+
+/** Handles one turn while no store answers; returns the refusal and the time that was allowed. */
+async function refuseWithoutStores(reachesQuorum: boolean) {
+  const clock = new ManualClock();
+  const refusals: Refusal[] = [];
+  const deadlines: number[] = [];
+  const exchange = {
+    head: { id: 't', program: 'p', budget: 100, mostTokens: 10, parts: [], promptTokens: 5 },
+    deadline: clock.monotonic() + 4000,
+    readBody: () => Promise.resolve(Buffer.from('x')),
+    decide: () => undefined,
+    refuse: (refusal: Refusal) => refusals.push(refusal),
+  } as unknown as Exchange;
+  const turns = {
+    reserve: ({ deadline }: { readonly deadline: number }) => {
+      deadlines.push(deadline - clock.monotonic());
+      return Promise.reject(new TurnsUnavailable('too few stores answer'));
+    },
+    release: () => undefined,
+  } as unknown as TurnClient;
+  const handler = new TurnHandler({
+    forwarder: {} as unknown as Forwarder,
+    turns,
+    watch: { reachesQuorum },
+    clock,
+    logger: createSilentLogger(),
+    metrics: new Metrics(),
+  });
+  await handler.handle(exchange, ROUTE, TABLE);
+  return { refusal: refusals[0], allowedMilliseconds: deadlines[0] };
+}
+
+describe('a turn for which too few stores answer', () => {
+  it('is refused within 50 ms where they are known to be out of reach, for a second', async () => {
+    const { refusal, allowedMilliseconds } = await refuseWithoutStores(false);
+    expect(refusal).toMatchObject({ status: 503, retryAfterSeconds: 1 });
+    expect(allowedMilliseconds).toBeLessThan(50);
+  });
+
+  it('is tried for longer where they answered lately, and is to come back sooner', async () => {
+    const { refusal, allowedMilliseconds } = await refuseWithoutStores(true);
+    expect(refusal).toMatchObject({ status: 503, retryAfterSeconds: 0.3 });
+    expect(allowedMilliseconds).toBeGreaterThan(1000);
+  });
+});
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -17,15 +17,24 @@
 /** Longest time spent on budget and chain before a turn is refused; milliseconds. */
 const PREPARE_MILLISECONDS = 1500;
 
-/** The same while no quorum of the stores is reached: another gateway may do better. */
-const PREPARE_OUT_OF_REACH_MILLISECONDS = 300;
+/**
+ * The same while no quorum of the stores is reached. Stores that are back answer within 5 ms, and a
+ * refusal should come within a quarter of the shortest aim, 200 ms; another gateway may do better.
+ */
+const PREPARE_OUT_OF_REACH_MILLISECONDS = 45;
 
 /** Shortest time for which a whole turn is tried to be kept; milliseconds. */
 const RECORD_MILLISECONDS = 2500;
 
-/** Pause that a refusal asks for while too few stores answer; seconds. */
+/** Pause that a refusal asks for where too few stores answered this time; seconds. */
 const STORES_RETRY_SECONDS = 0.3;
 
+/**
+ * The same while no quorum is reached: processes that all start again take about a second, and a
+ * caller asks only a few times.
+ */
+const OUT_OF_REACH_RETRY_SECONDS = 1;
+
 export interface TurnHandlerOptions {
   readonly forwarder: Forwarder;
   readonly turns: TurnClient;
@@ -113,13 +122,23 @@
       chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
-    if (chain instanceof TurnsUnavailable) return refused(storesUnavailable(chain));
+    if (chain instanceof TurnsUnavailable) return refused(this.#storesUnavailable(chain));
     if (chain.kind === 'absent') return refused(NO_SUCH_TURN);
-    if (reserved instanceof TurnsUnavailable) return refused(storesUnavailable(reserved));
+    if (reserved instanceof TurnsUnavailable) return refused(this.#storesUnavailable(reserved));
     if (!reserved.fits) return refused(BUDGET_SPENT);
     return { kind: 'ready', chain: chain.records };
   }
 
+  #storesUnavailable(error: TurnsUnavailable): Refusal {
+    const { reachesQuorum } = this.#options.watch;
+    return {
+      status: 503,
+      code: 'turns_unavailable',
+      message: `${error.message}; the turn was not run`,
+      retryAfterSeconds: reachesQuorum ? STORES_RETRY_SECONDS : OUT_OF_REACH_RETRY_SECONDS,
+    };
+  }
+
   #reserve({ exchange, program, id }: Turn, deadline: number): Promise<ReserveOutcome> {
     const { budget, mostTokens } = exchange.head;
     if (budget === undefined) return Promise.resolve({ fits: true, taken: 0 });
@@ -257,15 +276,6 @@
   return { kind: 'refused', refusal };
 }
 
-function storesUnavailable(error: TurnsUnavailable): Refusal {
-  return {
-    status: 503,
-    code: 'turns_unavailable',
-    message: `${error.message}; the turn was not run`,
-    retryAfterSeconds: STORES_RETRY_SECONDS,
-  };
-}
-
 /** Inputs and outputs of the chain, oldest first, then the new input. */
 function buildBody(chain: Chain, input: Buffer): Buffer {
   const parts = chain.flatMap((record) => [record.input, record.output]);
