One gateway reads the platform's list for all

Now the first gateway by name of those heard lately reads it every 700 ms, the others ask that one; the answer tells the age of the list, counted by the asker from before its question, so that a list held up by a freeze or a cut is not taken (1.4 s at most). Where the first does not answer, a gateway reads for itself, within the rate of all.

Weighed: telling the others unasked was ruled out, since what waits in a cut connection arrives old, and clocks differ. Worst age 1.4 s and a pause, against a bound of 3 s.

Tests: seven of the shared source with one clock and no network.

--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -47,8 +47,6 @@
     const targets = new TargetDirectory({
       ...parts,
       source: { list: () => Promise.resolve([]) },
-      readers: () => 1,
-      callsPerSecond: 1,
     });
     targets.take([
       {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -6,6 +6,7 @@
 import {
   EnginePlacer,
   LoadExchange,
+  SharedTargetSource,
   SlotPlacer,
   TargetConnections,
   TargetDirectory,
@@ -75,16 +76,17 @@
   const service = parts.createService(self, { status, greeter, founding, keeper });
   const client = parts.createClient(self, greeter, service);
 
-  const source = platform.createTargetSource(settings, logger);
-  const targets = new TargetDirectory({
-    source,
-    readers: () => Math.max(1, directory.ofKind('gateway').length),
+  const source = new SharedTargetSource({
+    self,
+    directory,
+    source: platform.createTargetSource(settings, logger),
+    peers,
     callsPerSecond: settings['target-list']['calls-per-second'],
     clock,
-    random,
     logger,
     metrics,
   });
+  const targets = new TargetDirectory({ source, clock, random, logger });
   const connections = new TargetConnections(logger, metrics);
   targets.onLeaving((state) => {
     connections.forget(state);
@@ -137,7 +139,10 @@
   lifeCycle.add('peers', peers);
   lifeCycle.add('connections', connections);
   if (keeper !== undefined) lifeCycle.add('cluster-state', keeper.member);
-  lifeCycle.add('listener', parts.createListener([service.calls], [service.casts, loads.casts]));
+  lifeCycle.add(
+    'listener',
+    parts.createListener([service.calls, source.calls], [service.casts, loads.casts]),
+  );
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('greeter', greeter);
   if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -3,35 +3,29 @@
   type Clock,
   type Component,
   type Logger,
-  type Metrics,
   type RandomSource,
   messageOf,
 } from '../core';
 import { TargetState } from './state';
 import type { ListedTarget, TargetSource } from './target';
 
-/** Pause between two readings of the list; a leaving target must be known within 3 s. */
-const READ_MILLISECONDS = 1000;
+/**
+ * Pause between two readings of the list. A leaving target must be known within 3 s, and what
+ * another gateway tells may be two pauses old. Milliseconds.
+ */
+const READ_MILLISECONDS = 700;
 
 /** Pause after a reading that failed; milliseconds. */
 const RETRY_MILLISECONDS = 250;
 
-/** Share of the list's rate that is used; the rest is left for its further pages and retries. */
-const RATE_SHARE = 0.6;
-
 /** Shares of the pause by which processes are kept from reading at the same time. */
 const SPREAD = { least: 0.9, more: 0.2 };
 
 export interface TargetDirectoryOptions {
   readonly source: TargetSource;
-  /** Processes that read the list, this one included. */
-  readonly readers: () => number;
-  /** Calls that the list takes from all processes together. */
-  readonly callsPerSecond: number;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
-  readonly metrics: Metrics;
 }
 
 /** The targets that the platform lists, with what this process knows of each. */
@@ -117,21 +111,13 @@
     const { clock, random } = this.#options;
     const read = await this.#read();
     if (this.#stopped) return;
-    const pause = read ? this.#readPause : RETRY_MILLISECONDS;
+    const pause = read ? READ_MILLISECONDS : RETRY_MILLISECONDS;
     const spread = SPREAD.least + SPREAD.more * random.fraction();
     this.#cancel = clock.after(pause * spread, () => void this.#run());
   }
 
-  /** All processes together stay within the rate of the list. */
-  get #readPause(): number {
-    const { readers, callsPerSecond } = this.#options;
-    const share = (readers() * 1000) / (callsPerSecond * RATE_SHARE);
-    return Math.max(READ_MILLISECONDS, share);
-  }
-
   async #read(): Promise<boolean> {
-    const { source, logger, metrics } = this.#options;
-    metrics.count('target_lists_read_total');
+    const { source, logger } = this.#options;
     try {
       this.take(await source.list());
       if (!this.#reading) logger.info({ event: 'target-list-regained' });
--- /dev/null
+++ b/src/targets/tests/shared-source.test.ts
@@ -0,0 +1,157 @@
+import { Metrics, createSilentLogger } from '../../core';
+import { ManualClock } from '../../core/tests/manual-clock';
+import { NodeDirectory, type NodeInfo } from '../../cluster';
+import type { Caller } from '../../link';
+import { type ListedTarget, SharedTargetSource, type TargetListContract } from '..';
+
+const LISTED: ListedTarget = {
+  id: 't1',
+  service: 's',
+  address: '10.0.0.1:80',
+  availabilityZone: 'a',
+  slots: 6,
+  draining: false,
+};
+
+function gateway(name: string): NodeInfo {
+  return {
+    name,
+    kind: 'gateway',
+    address: name,
+    availabilityZone: 'a',
+    keepsClusterState: false,
+    run: '1',
+    dataLife: '',
+  };
+}
+
+/** Gateways with one clock that know of one another, before one list of the platform. */
+class Gateways {
+  readonly clock = new ManualClock();
+  readonly readings: string[] = [];
+  /** Gateways that answer nobody. */
+  readonly silent = new Set<string>();
+  list: readonly ListedTarget[] = [LISTED];
+  readonly #sources = new Map<string, SharedTargetSource>();
+  readonly #directories: NodeDirectory[] = [];
+  readonly #names: readonly string[];
+
+  constructor(names: readonly string[], callsPerSecond = 40) {
+    this.#names = names;
+    for (const name of names) {
+      const directory = new NodeDirectory(this.clock);
+      this.#directories.push(directory);
+      const source = new SharedTargetSource({
+        self: gateway(name),
+        directory,
+        source: {
+          list: () => {
+            this.readings.push(name);
+            return Promise.resolve(this.list);
+          },
+        },
+        peers: this.#caller,
+        callsPerSecond,
+        clock: this.clock,
+        logger: createSilentLogger(),
+        metrics: new Metrics(),
+      });
+      this.#sources.set(name, source);
+    }
+    this.greet();
+  }
+
+  greet(): void {
+    const status = { configurationVersion: 1, viewEpoch: 1, completeFor: 0 };
+    for (const directory of this.#directories) {
+      for (const name of this.#names) directory.hear(gateway(name), status);
+    }
+  }
+
+  source(name: string): SharedTargetSource {
+    const source = this.#sources.get(name);
+    if (source === undefined) throw new Error(`no gateway ${name}`);
+    return source;
+  }
+
+  get #caller(): Pick<Caller<TargetListContract>, 'call'> {
+    return {
+      call: (address, name, request) => {
+        const handler = this.source(address).calls[name];
+        if (this.silent.has(address) || handler === undefined) {
+          return Promise.reject(new Error(`${address} does not answer`));
+        }
+        return Promise.resolve(handler(request));
+      },
+    };
+  }
+}
+
+describe('the list of targets that gateways share', () => {
+  it('is read by the first of them alone, and told to the others', async () => {
+    const gateways = new Gateways(['g1', 'g2', 'g3']);
+    for (const name of ['g1', 'g2', 'g3', 'g2']) {
+      expect(await gateways.source(name).list()).toEqual([LISTED]);
+    }
+    expect(gateways.readings).toEqual(['g1']);
+  });
+
+  it('is told again once it has changed', async () => {
+    const gateways = new Gateways(['g1', 'g2']);
+    await gateways.source('g1').list();
+    await gateways.source('g2').list();
+    gateways.list = [{ ...LISTED, draining: true }];
+    gateways.clock.advance(700);
+    await gateways.source('g1').list();
+    expect(await gateways.source('g2').list()).toEqual(gateways.list);
+    expect(gateways.readings).toEqual(['g1', 'g1']);
+  });
+
+  it('is read by each for itself where the first does not answer', async () => {
+    const gateways = new Gateways(['g1', 'g2']);
+    gateways.silent.add('g1');
+    expect(await gateways.source('g2').list()).toEqual([LISTED]);
+    expect(gateways.readings).toEqual(['g2']);
+  });
+
+  it('is not taken from one that has stopped reading', async () => {
+    const gateways = new Gateways(['g1', 'g2']);
+    await gateways.source('g1').list();
+    gateways.clock.advance(1500);
+    gateways.greet();
+    await gateways.source('g2').list();
+    expect(gateways.readings).toEqual(['g1', 'g2']);
+  });
+
+  it('counts the time that others have held it', async () => {
+    const gateways = new Gateways(['g1', 'g2', 'g3']);
+    await gateways.source('g1').list();
+    gateways.clock.advance(800);
+    gateways.greet();
+    await gateways.source('g2').list();
+    gateways.silent.add('g1');
+    gateways.clock.advance(800);
+    const answer = await gateways.source('g2').calls['targets.list']?.({ digest: '' });
+    expect(answer).toMatchObject({ kind: 'list', ageMilliseconds: 1600 });
+  });
+
+  it('is read by the next one after the first has fallen silent', async () => {
+    const gateways = new Gateways(['g1', 'g2', 'g3']);
+    gateways.clock.advance(2000);
+    expect(await gateways.source('g2').list()).toEqual([LISTED]);
+    expect(gateways.readings).toEqual(['g2']);
+  });
+
+  it('is read within the rate of all while all read for themselves', async () => {
+    const gateways = new Gateways(['g1', 'g2', 'g3'], 5);
+    gateways.silent.add('g1');
+    await gateways.source('g2').list();
+    gateways.clock.advance(900);
+    gateways.greet();
+    await gateways.source('g2').list();
+    expect(gateways.readings).toEqual(['g2']);
+    gateways.clock.advance(200);
+    await gateways.source('g2').list();
+    expect(gateways.readings).toEqual(['g2', 'g2']);
+  });
+});
