--- a/src/storage/frame.ts
+++ b/src/storage/frame.ts
@@ -1,4 +1,4 @@
-import { buf as crc32 } from 'crc-32';
+import { crc32 } from 'node:zlib';
 
 /** First bytes of every file: a mark and the format version. */
 export const FILE_MARK = Buffer.from('MARTLOG\u0002', 'latin1');
@@ -22,7 +22,7 @@
   const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
   FRAME_MARK.copy(header, 0);
   header.writeUInt32BE(payload.length, 4);
-  header.writeInt32BE(crc32(payload), 8);
+  header.writeUInt32BE(crc32(payload), 8);
   return Buffer.concat([header, payload]);
 }
 
@@ -69,7 +69,7 @@
   const end = start + length;
   if (length === 0 || length > PAYLOAD_LIMIT_BYTES || end > bytes.length) return undefined;
   const payload = bytes.subarray(start, end);
-  return crc32(payload) === bytes.readInt32BE(offset + 8) ? { payload, end } : undefined;
+  return crc32(payload) === bytes.readUInt32BE(offset + 8) ? { payload, end } : undefined;
 }
 
 /** Frames are synced one by one, so a whole one shows that those before it were acknowledged. */
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -10,10 +10,14 @@
 
 const LIFE_BYTES = 8;
 
-const ownSchema = z.tuple([
-  z.literal('own'),
-  z.object({ dataLife: z.string(), completeFor: z.int(), view: storeViewSchema.optional() }),
-]);
+/** Kind of the lines that tell what a store keeps about itself; the newest one counts. */
+const OWN_LINE = 'own';
+
+const ownSchema = z.object({
+  dataLife: z.string(),
+  completeFor: z.int(),
+  view: storeViewSchema.optional(),
+});
 
 /** What a store keeps about itself. */
 interface OwnState {
@@ -89,7 +93,7 @@
 
   async #keepOwn(own: OwnState): Promise<void> {
     this.#own = own;
-    await this.#append([JSON.stringify(['own', own])]);
+    await this.#append([JSON.stringify([OWN_LINE, own])]);
   }
 
   async #append(lines: readonly string[]): Promise<void> {
@@ -116,15 +120,15 @@
   }
 
   *#snapshot(): Generator<string> {
-    yield JSON.stringify(['own', this.#own]);
+    yield JSON.stringify([OWN_LINE, this.#own]);
     for (const row of this.table.rows()) yield encodeRow(row);
   }
 
   #restore(text: string): void {
-    const value: unknown = JSON.parse(text);
-    const own = ownSchema.safeParse(value);
-    if (own.success) this.#own = own.data[1];
-    else if (text !== EMPTY_LINE) this.table.apply(decodeRow(value));
+    if (text === EMPTY_LINE) return;
+    const [kind, ...fields] = JSON.parse(text) as readonly unknown[];
+    if (kind === OWN_LINE) this.#own = ownSchema.parse(fields[0]);
+    else this.table.apply(decodeRow(kind, fields));
   }
 }
 
--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -41,7 +41,6 @@
     };
 
 const turnSchema = z.tuple([
-  z.literal('turn'),
   z.string(),
   z.string(),
   z.string(),
@@ -55,14 +54,11 @@
 ]);
 
 const budgetSchema = z.tuple([
-  z.literal('budget'),
   z.string(),
   z.number(),
   z.array(z.tuple([z.string(), z.number(), z.boolean()])),
 ]);
 
-const rowSchema = z.union([turnSchema, budgetSchema]);
-
 /** Renders a row as one line; bytes become one character each. */
 export function encodeRow(row: TurnRow): string {
   if (row.kind === 'budget') {
@@ -85,15 +81,20 @@
   ]);
 }
 
-/** Reads a line that {@link encodeRow} wrote. */
-export function decodeRow(value: unknown): TurnRow {
-  const row = rowSchema.parse(value);
-  if (row[0] === 'budget') {
-    const [, program, changedAt, entries] = row;
-    const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
-    return { kind: 'budget', program, changedAt, reservations };
-  }
-  const [, id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] = row;
+/** Reads a line that {@link encodeRow} wrote: its kind and what follows. */
+export function decodeRow(kind: unknown, fields: readonly unknown[]): TurnRow {
+  return kind === 'turn' ? decodeTurn(fields) : decodeBudget(fields);
+}
+
+function decodeBudget(fields: readonly unknown[]): TurnRow {
+  const [program, changedAt, entries] = budgetSchema.parse(fields);
+  const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
+  return { kind: 'budget', program, changedAt, reservations };
+}
+
+function decodeTurn(fields: readonly unknown[]): TurnRow {
+  const [id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] =
+    turnSchema.parse(fields);
   const [target, input, output] = rest;
   const record = {
     id,
