--- a/src/core/tests/manual-clock.ts
+++ b/src/core/tests/manual-clock.ts
@@ -40,7 +40,7 @@
       const [next] = due.sort((left, right) => left.at - right.at);
       if (next === undefined) break;
       this.#timers = this.#timers.filter((timer) => timer !== next);
-      this.#now = next.at;
+      this.#now = Math.max(this.#now, next.at);
       next.action();
     }
     this.#now = end;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -15,6 +15,7 @@
 import { ChainCache, StoreWatch, TurnClient } from '../turns';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeParts, type NodePartsOptions } from './node';
+import { PauseWatch } from './pause-watch';
 import type { NodeSettings } from './settings';
 
 /** Bytes of whole turns that a gateway keeps in memory, so that it need not fetch them. */
@@ -136,6 +137,7 @@
 
   const lifeCycle = new LifeCycle();
   lifeCycle.add('log', parts.logOutput);
+  lifeCycle.add('pause-watch', new PauseWatch(parts));
   lifeCycle.add('peers', peers);
   lifeCycle.add('connections', connections);
   if (keeper !== undefined) lifeCycle.add('cluster-state', keeper.member);
--- a/src/nodes/store-node.ts
+++ b/src/nodes/store-node.ts
@@ -1,6 +1,7 @@
 import { LifeCycle, messageOf } from '../core';
 import { Filler, TurnJournal, TurnStore } from '../turns';
 import { NodeParts, type NodePartsOptions } from './node';
+import { PauseWatch } from './pause-watch';
 
 /** A process that keeps turns and budgets on its host's disk. */
 export async function createStoreNode(
@@ -27,6 +28,7 @@
   metrics.gauge('turns', () => journal.table.turnCount);
   const lifeCycle = new LifeCycle();
   lifeCycle.add('log', parts.logOutput);
+  lifeCycle.add('pause-watch', new PauseWatch(parts));
   lifeCycle.add('peers', parts.peers);
   lifeCycle.add('store', store);
   lifeCycle.add(
