The list is read for all by a gateway that all are connected to

The reader is now the first of the gateways that keep the cluster's state and to which the connection stands.

The tests' gateways know one another by hearsay, as real ones do; under the first form 'told to the others' fails so.

--- a/src/targets/shared-source.ts
+++ b/src/targets/shared-source.ts
@@ -9,9 +9,6 @@
  */
 const LONGEST_AGE_MILLISECONDS = 1400;
 
-/** Silence of a gateway after which it is not asked for its list; three greetings. Milliseconds. */
-const SILENCE_MILLISECONDS = 1000;
-
 /** Longest wait for another gateway's list; milliseconds. */
 const ANSWER_MILLISECONDS = 200;
 
@@ -49,7 +46,7 @@
   readonly directory: NodeDirectory;
   /** The platform's own list. */
   readonly source: TargetSource;
-  readonly peers: Pick<Caller<TargetListContract>, 'call'>;
+  readonly peers: Pick<Caller<TargetListContract>, 'call' | 'isConnected'>;
   /** Readings that the platform takes from all processes together. */
   readonly callsPerSecond: number;
   readonly clock: Clock;
@@ -65,8 +62,9 @@
 }
 
 /**
- * The platform's list, read by one gateway for all: the first by name of those that were heard
- * lately. The others ask that one, and read for themselves where it has nothing fresh to tell.
+ * The platform's list, read by one gateway for all: the first by name of those that keep the
+ * cluster's state, to which every process has a connection. The others ask that one, and read for
+ * themselves where it has nothing fresh to tell.
  */
 export class SharedTargetSource implements TargetSource {
   readonly #options: SharedTargetSourceOptions;
@@ -84,22 +82,26 @@
   }
 
   async list(): Promise<readonly ListedTarget[]> {
-    const { self } = this.#options;
-    const gateways = this.#liveGateways();
-    const [reader = self] = gateways;
+    const { self, directory } = this.#options;
+    const reader = this.#pickReader();
     if (reader.name !== this.#reader) this.#noteReader(reader.name);
-    const told = reader.name === self.name ? undefined : await this.#ask(reader);
-    return told ?? this.#read(reader.name === self.name ? 1 : gateways.length);
+    if (reader.name === self.name) return this.#read(1);
+    const told = await this.#ask(reader);
+    return told ?? this.#read(directory.ofKind('gateway').length);
   }
 
-  /** This gateway and those heard lately, in the same order everywhere. */
-  #liveGateways(): readonly NodeInfo[] {
-    const { self, directory } = this.#options;
-    const others = directory
-      .heardWithin(SILENCE_MILLISECONDS)
+  /** The first of the gateways that may read for all and are reached, this one included. */
+  #pickReader(): NodeInfo {
+    const { self, directory, peers } = this.#options;
+    const [first] = directory
+      .ofKind('gateway')
       .map(({ node }) => node)
-      .filter(({ kind, name }) => kind === 'gateway' && name !== self.name);
-    return [self, ...others].sort((left, right) => (left.name < right.name ? -1 : 1));
+      .filter(({ keepsClusterState, address, name }) => {
+        return keepsClusterState && name !== self.name && peers.isConnected(address);
+      })
+      .sort((left, right) => (left.name < right.name ? -1 : 1));
+    if (first === undefined) return self;
+    return self.keepsClusterState && self.name < first.name ? self : first;
   }
 
   #noteReader(name: string): void {
--- a/src/targets/tests/shared-source.test.ts
+++ b/src/targets/tests/shared-source.test.ts
@@ -13,13 +13,14 @@
   draining: false,
 };
 
+/** Gateways whose names begin with k keep the cluster's state. */
 function gateway(name: string): NodeInfo {
   return {
     name,
     kind: 'gateway',
     address: name,
     availabilityZone: 'a',
-    keepsClusterState: false,
+    keepsClusterState: name.startsWith('k'),
     run: '1',
     dataLife: '',
   };
@@ -31,6 +32,8 @@
   readonly readings: string[] = [];
   /** Gateways that answer nobody. */
   readonly silent = new Set<string>();
+  /** Gateways to which no connection stands. */
+  readonly lost = new Set<string>();
   list: readonly ListedTarget[] = [LISTED];
   readonly #sources = new Map<string, SharedTargetSource>();
   readonly #directories: NodeDirectory[] = [];
@@ -61,10 +64,10 @@
     this.greet();
   }
 
+  /** All know of all by hearsay, as those do who are greeted by nobody. */
   greet(): void {
-    const status = { configurationVersion: 1, viewEpoch: 1, completeFor: 0 };
     for (const directory of this.#directories) {
-      for (const name of this.#names) directory.hear(gateway(name), status);
+      for (const name of this.#names) directory.learn(gateway(name));
     }
   }
 
@@ -74,8 +77,9 @@
     return source;
   }
 
-  get #caller(): Pick<Caller<TargetListContract>, 'call'> {
+  get #caller(): Pick<Caller<TargetListContract>, 'call' | 'isConnected'> {
     return {
+      isConnected: (address) => !this.lost.has(address),
       call: (address, name, request) => {
         const handler = this.source(address).calls[name];
         if (this.silent.has(address) || handler === undefined) {
@@ -89,69 +93,76 @@
 
 describe('the list of targets that gateways share', () => {
   it('is read by the first of them alone, and told to the others', async () => {
-    const gateways = new Gateways(['g1', 'g2', 'g3']);
-    for (const name of ['g1', 'g2', 'g3', 'g2']) {
+    const gateways = new Gateways(['k1', 'k2', 'g3']);
+    for (const name of ['k1', 'k2', 'g3', 'k2']) {
       expect(await gateways.source(name).list()).toEqual([LISTED]);
     }
-    expect(gateways.readings).toEqual(['g1']);
+    expect(gateways.readings).toEqual(['k1']);
   });
 
   it('is told again once it has changed', async () => {
-    const gateways = new Gateways(['g1', 'g2']);
-    await gateways.source('g1').list();
-    await gateways.source('g2').list();
+    const gateways = new Gateways(['k1', 'k2']);
+    await gateways.source('k1').list();
+    await gateways.source('k2').list();
     gateways.list = [{ ...LISTED, draining: true }];
     gateways.clock.advance(700);
-    await gateways.source('g1').list();
-    expect(await gateways.source('g2').list()).toEqual(gateways.list);
-    expect(gateways.readings).toEqual(['g1', 'g1']);
+    await gateways.source('k1').list();
+    expect(await gateways.source('k2').list()).toEqual(gateways.list);
+    expect(gateways.readings).toEqual(['k1', 'k1']);
   });
 
   it('is read by each for itself where the first does not answer', async () => {
-    const gateways = new Gateways(['g1', 'g2']);
-    gateways.silent.add('g1');
-    expect(await gateways.source('g2').list()).toEqual([LISTED]);
-    expect(gateways.readings).toEqual(['g2']);
+    const gateways = new Gateways(['k1', 'k2']);
+    gateways.silent.add('k1');
+    expect(await gateways.source('k2').list()).toEqual([LISTED]);
+    expect(gateways.readings).toEqual(['k2']);
   });
 
   it('is not taken from one that has stopped reading', async () => {
-    const gateways = new Gateways(['g1', 'g2']);
-    await gateways.source('g1').list();
+    const gateways = new Gateways(['k1', 'k2']);
+    await gateways.source('k1').list();
     gateways.clock.advance(1500);
     gateways.greet();
-    await gateways.source('g2').list();
-    expect(gateways.readings).toEqual(['g1', 'g2']);
+    await gateways.source('k2').list();
+    expect(gateways.readings).toEqual(['k1', 'k2']);
   });
 
   it('counts the time that others have held it', async () => {
-    const gateways = new Gateways(['g1', 'g2', 'g3']);
-    await gateways.source('g1').list();
+    const gateways = new Gateways(['k1', 'k2', 'g3']);
+    await gateways.source('k1').list();
     gateways.clock.advance(800);
     gateways.greet();
-    await gateways.source('g2').list();
-    gateways.silent.add('g1');
+    await gateways.source('k2').list();
+    gateways.silent.add('k1');
     gateways.clock.advance(800);
-    const answer = await gateways.source('g2').calls['targets.list']?.({ digest: '' });
+    const answer = await gateways.source('k2').calls['targets.list']?.({ digest: '' });
     expect(answer).toMatchObject({ kind: 'list', ageMilliseconds: 1600 });
   });
 
-  it('is read by the next one after the first has fallen silent', async () => {
-    const gateways = new Gateways(['g1', 'g2', 'g3']);
-    gateways.clock.advance(2000);
-    expect(await gateways.source('g2').list()).toEqual([LISTED]);
-    expect(gateways.readings).toEqual(['g2']);
+  it('is read by the next one while the connection to the first is lost', async () => {
+    const gateways = new Gateways(['k1', 'k2', 'g3']);
+    gateways.lost.add('k1');
+    for (const name of ['k2', 'g3']) expect(await gateways.source(name).list()).toEqual([LISTED]);
+    expect(gateways.readings).toEqual(['k2']);
+  });
+
+  it('is not read for all by a gateway to which others need have no connection', async () => {
+    const gateways = new Gateways(['g0', 'k1']);
+    await gateways.source('k1').list();
+    await gateways.source('g0').list();
+    expect(gateways.readings).toEqual(['k1']);
   });
 
   it('is read within the rate of all while all read for themselves', async () => {
-    const gateways = new Gateways(['g1', 'g2', 'g3'], 5);
-    gateways.silent.add('g1');
-    await gateways.source('g2').list();
+    const gateways = new Gateways(['k1', 'k2', 'g3'], 5);
+    gateways.silent.add('k1');
+    await gateways.source('k2').list();
     gateways.clock.advance(900);
     gateways.greet();
-    await gateways.source('g2').list();
-    expect(gateways.readings).toEqual(['g2']);
+    await gateways.source('k2').list();
+    expect(gateways.readings).toEqual(['k2']);
     gateways.clock.advance(200);
-    await gateways.source('g2').list();
-    expect(gateways.readings).toEqual(['g2', 'g2']);
+    await gateways.source('k2').list();
+    expect(gateways.readings).toEqual(['k2', 'k2']);
   });
 });
