--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -22,9 +22,9 @@
 
 /**
  * Pause that a refusal asks for while no configuration is known; an election after a start of all
- * processes takes 0.6 s, and stores start after gateways. Seconds.
+ * processes takes 0.6 s. Seconds.
  */
-const CONFIGURATION_RETRY_SECONDS = 1;
+const CONFIGURATION_RETRY_SECONDS = 0.7;
 
 export interface GatewayServerOptions {
   readonly address: Address;
