--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -1,5 +1,3 @@
-import * as z from 'zod';
-
 /** One whole turn: what the caller sent and what the engine answered. */
 export interface TurnRecord {
   readonly id: string;
@@ -40,24 +38,26 @@
       readonly changedAt: number;
     };
 
-const turnSchema = z.tuple([
-  z.string(),
-  z.string(),
-  z.string(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.string(),
-  z.string(),
-  z.string(),
-]);
+/** A turn's line: id, program, the turn before it, numbers, target, input and output. */
+type TurnLine = readonly [
+  id: string,
+  program: string,
+  previous: string,
+  tokens: number,
+  contextTokens: number,
+  endedAt: number,
+  retentionSeconds: number,
+  target: string,
+  input: string,
+  output: string,
+];
 
-const budgetSchema = z.tuple([
-  z.string(),
-  z.number(),
-  z.array(z.tuple([z.string(), z.number(), z.boolean()])),
-]);
+/** A budget's line: program, time of the last change, reservations. */
+type BudgetLine = readonly [
+  program: string,
+  changedAt: number,
+  reservations: readonly (readonly [turn: string, tokens: number, settled: boolean])[],
+];
 
 /** Renders a row as one line; bytes become one character each. */
 export function encodeRow(row: TurnRow): string {
@@ -81,20 +81,23 @@
   ]);
 }
 
-/** Reads a line that {@link encodeRow} wrote: its kind and what follows. */
+/**
+ * Reads a line that {@link encodeRow} wrote: its kind and what follows. The file's checksums and
+ * format vouch for its form; a schema would take a third of a store's time to start.
+ */
 export function decodeRow(kind: unknown, fields: readonly unknown[]): TurnRow {
-  return kind === 'turn' ? decodeTurn(fields) : decodeBudget(fields);
+  return kind === 'turn'
+    ? decodeTurn(fields as unknown as TurnLine)
+    : decodeBudget(fields as unknown as BudgetLine);
 }
 
-function decodeBudget(fields: readonly unknown[]): TurnRow {
-  const [program, changedAt, entries] = budgetSchema.parse(fields);
+function decodeBudget([program, changedAt, entries]: BudgetLine): TurnRow {
   const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
   return { kind: 'budget', program, changedAt, reservations };
 }
 
-function decodeTurn(fields: readonly unknown[]): TurnRow {
-  const [id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] =
-    turnSchema.parse(fields);
+function decodeTurn(fields: TurnLine): TurnRow {
+  const [id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] = fields;
   const [target, input, output] = rest;
   const record = {
     id,
