One messy network and one sample view for the tests

Cause: the clusters of replication's tests each had their own reordering, repeating and losing network, and two tests of turns the same view.

--- a/src/replication/tests/cluster.ts
+++ b/src/replication/tests/cluster.ts
@@ -4,6 +4,7 @@
 import { MemoryDisk } from '../../storage/tests/disk';
 import { type Envelope, ReplicatedLog, hostOf, nameOf } from '..';
 import { ListMachine } from './list-machine';
+import { MessyNetwork } from './messy-network';
 
 interface Host {
   readonly name: string;
@@ -41,7 +42,7 @@
   readonly #hosts: Host[] = [];
   readonly #cuts = new Set<string>();
   #names: readonly string[];
-  #network: Envelope[] = [];
+  readonly #network: MessyNetwork<Envelope>;
   #proposals = 0;
   #wipes = 0;
   #snapshots = 0;
@@ -52,6 +53,7 @@
 
   private constructor(seed: number, size: number) {
     this.#random = new SeededRandom(seed);
+    this.#network = new MessyNetwork(this.#random);
     this.#names = Array.from({ length: size }, (_, index) => `m${index}`);
   }
 
@@ -98,7 +100,11 @@
       self: name,
       hosts: () => this.#names,
       store: new SegmentedStore({ folder: '/log', fileSystem: disk.mount(), segmentBytes: 2000 }),
-      transport: { send: (envelope) => this.#network.push(envelope) },
+      transport: {
+        send: (envelope) => {
+          this.#network.send(envelope);
+        },
+      },
       machine,
       clock,
       random: this.#random,
@@ -143,7 +149,7 @@
     else if (choice < 0.957) this.#wipe(host);
     else if (choice < 0.975) await this.#mend(this.#broken ?? host);
     else if (choice < 0.978) await this.#changeNames();
-    else this.#network.splice(Math.floor(this.#random.fraction() * this.#network.length), 1);
+    else this.#network.drop();
   }
 
   #tick(): void {
@@ -166,12 +172,8 @@
   }
 
   #deliverOne(): void {
-    if (this.#network.length === 0) return;
-    const index = Math.floor(this.#random.fraction() * Math.min(this.#network.length, 8));
-    const [envelope] = this.#network.splice(index, 1);
-    if (envelope === undefined) return;
-    if (this.#random.fraction() < 0.05) this.#network.push(envelope);
-    this.#deliver(envelope);
+    const envelope = this.#network.take();
+    if (envelope !== undefined) this.#deliver(envelope);
   }
 
   #deliver(envelope: Envelope): void {
@@ -254,7 +256,7 @@
         this.#pass(host, TICK_MILLISECONDS);
         host.disk.letGo();
       }
-      for (const envelope of this.#network.splice(0)) this.#deliver(envelope);
+      for (const envelope of this.#network.takeAll()) this.#deliver(envelope);
       await flush();
       this.#check();
     }
--- a/src/replication/tests/member-cluster.ts
+++ b/src/replication/tests/member-cluster.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from '../../core';
 import type { HardState, LogEntry, RaftEnvelope } from '../messages';
 import { RaftMember } from '../raft';
+import { MessyNetwork } from './messy-network';
 
 interface Disk {
   hardState: HardState;
@@ -43,7 +44,7 @@
   readonly #nodes: Node[];
   readonly #names: readonly string[];
   readonly #cuts = new Set<string>();
-  #network: RaftEnvelope[] = [];
+  readonly #network: MessyNetwork<RaftEnvelope>;
   #now = 0;
   #proposals = 0;
   readonly #leaderOfTerm = new Map<number, string>();
@@ -53,6 +54,7 @@
 
   constructor(seed: number, size: number) {
     this.#random = new SeededRandom(seed);
+    this.#network = new MessyNetwork(this.#random);
     this.#names = Array.from({ length: size }, (_, index) => `m${index}`);
     this.#nodes = this.#names.map((name) => this.#boot(name, emptyDisk()));
   }
@@ -103,7 +105,7 @@
       this.#act(node, (member) => {
         member.transferLeadership(this.#now);
       });
-    } else this.#network.splice(Math.floor(this.#random.fraction() * this.#network.length), 1);
+    } else this.#network.drop();
   }
 
   #tick(): void {
@@ -126,12 +128,8 @@
   }
 
   #deliverOne(): void {
-    if (this.#network.length === 0) return;
-    const index = Math.floor(this.#random.fraction() * Math.min(this.#network.length, 8));
-    const [envelope] = this.#network.splice(index, 1);
-    if (envelope === undefined) return;
-    if (this.#random.fraction() < 0.05) this.#network.push(envelope);
-    this.#deliver(envelope);
+    const envelope = this.#network.take();
+    if (envelope !== undefined) this.#deliver(envelope);
   }
 
   #deliver(envelope: RaftEnvelope): void {
@@ -155,7 +153,7 @@
     if (!node.alive || node.frozen) return;
     action(node.member);
     const output = node.member.takeOutput();
-    this.#network.push(...output.messages);
+    this.#network.send(...output.messages);
     const changed =
       output.hardState !== undefined ||
       output.truncateFrom !== undefined ||
@@ -188,7 +186,7 @@
       return;
     }
     node.disk = { hardState: first.hardState, entries: first.entries };
-    this.#network.push(...first.messages);
+    this.#network.send(...first.messages);
     this.#act(node, (member) => {
       member.synced(first.lastIndex, first.lastTerm);
     });
@@ -222,7 +220,7 @@
         });
         while (node.unsynced.length > 0) this.#syncOne(node);
       }
-      for (const envelope of this.#network.splice(0)) this.#deliver(envelope);
+      for (const envelope of this.#network.takeAll()) this.#deliver(envelope);
     }
   }
 
--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -4,6 +4,7 @@
 import type { Caller } from '../../link';
 import { ChainCache, type Reservation, TurnClient, type TurnContract } from '..';
 import { settle } from './store-cluster';
+import { SAMPLE_VIEW } from './sample-view';
 
 const MOST = 10;
 
@@ -43,14 +44,7 @@
 
 function createClient(stores: NotingStores, clock: ManualClock): TurnClient {
   const view = new Newest<StoreView>(({ epoch }) => epoch);
-  const members = ['a', 'b', 'c'].map((name) => ({
-    name,
-    address: name,
-    availabilityZone: name,
-    dataLife: name,
-    joined: 1,
-  }));
-  view.offer({ epoch: 1, members, quorum: 2 });
+  view.offer(SAMPLE_VIEW);
   return new TurnClient({
     availabilityZone: 'a',
     view,
--- a/src/turns/tests/store-watch.test.ts
+++ b/src/turns/tests/store-watch.test.ts
@@ -3,6 +3,7 @@
 import { ManualClock } from '../../core/tests/manual-clock';
 import { StoreWatch } from '..';
 import { settle } from './store-cluster';
+import { SAMPLE_VIEW } from './sample-view';
 
 /** Time in which two looks take place; milliseconds. */
 const TWO_LOOKS_MILLISECONDS = 1000;
@@ -34,14 +35,7 @@
   };
 
   beforeAll(() => {
-    const members = ['a', 'b', 'c'].map((name) => ({
-      name,
-      address: name,
-      availabilityZone: name,
-      dataLife: name,
-      joined: 1,
-    }));
-    view.offer({ epoch: 1, members, quorum: 2 });
+    view.offer(SAMPLE_VIEW);
     watch.start();
   });
 
