martenbay explain, and the causes of programs that did not end in time

'bench causes FILE...' counts why programs did not end in time. Request lines have kind, previous turn and the time to the first byte for it.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,6 @@
+import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
+import { countCauses, readLog } from '../src/explain';
 import { type ControlBenchOptions, benchControl } from './control';
 import { benchFootprint } from './footprint';
 import { benchLink } from './link';
@@ -57,4 +59,11 @@
   .action(async (options: ControlBenchOptions) => {
     await benchControl(options);
   });
+program
+  .command('causes <files...>')
+  .description('why the programs in logs of gateways did not end in time, by share')
+  .action((files: readonly string[]) => {
+    const { lines, skipped } = readLog(files.map((file) => readFileSync(file, 'utf8')).join('\n'));
+    process.stdout.write(`${JSON.stringify({ ...countCauses(lines), skipped })}\n`);
+  });
 void program.parseAsync();
--- /dev/null
+++ b/src/explain/index.ts
@@ -0,0 +1,3 @@
+export { type Cause, type CauseTable, countCauses } from './causes';
+export { type LogLine, type LogReading, readLog } from './log-line';
+export { type Story, tellStory } from './story';
--- /dev/null
+++ b/src/explain/story.ts
@@ -0,0 +1,40 @@
+import type { LogLine } from './log-line';
+import { orderByCause } from './order';
+
+/** Time around a request in which its process's beliefs are shown with it; milliseconds. */
+const AROUND_MILLISECONDS = 2000;
+
+/** Events that say something of single requests, not of what a process believes. */
+const REQUEST_EVENTS = new Set(['request', 'request-failed']);
+
+/** What the logs say of one request or program. */
+export interface Story {
+  readonly kind: 'request' | 'program' | 'unknown';
+  readonly lines: readonly LogLine[];
+}
+
+/**
+ * Lines about a request, with what its process came to believe while it ran, or about a program,
+ * in the order of cause.
+ */
+export function tellStory(lines: readonly LogLine[], id: string): Story {
+  const own = lines.filter(({ request }) => request === id);
+  if (own.length > 0) {
+    const beliefs = own.flatMap((line) => beliefsAround(lines, line));
+    const chosen = new Set([...own, ...beliefs]);
+    return { kind: 'request', lines: orderByCause(lines.filter((line) => chosen.has(line))) };
+  }
+  const ofProgram = lines.filter(({ program }) => program === id);
+  const kind = ofProgram.length > 0 ? 'program' : 'unknown';
+  return { kind, lines: orderByCause(ofProgram) };
+}
+
+/** A line is written at the end of its request, on the clock of the same host as the beliefs. */
+function beliefsAround(lines: readonly LogLine[], about: LogLine): readonly LogLine[] {
+  const end = Date.parse(about.time);
+  const start = end - (about.milliseconds ?? 0) - AROUND_MILLISECONDS;
+  return lines.filter(({ host, event, time }) => {
+    const at = Date.parse(time);
+    return host === about.host && !REQUEST_EVENTS.has(event) && at >= start && at <= end;
+  });
+}
--- /dev/null
+++ b/src/explain/tests/explain.test.ts
@@ -0,0 +1,95 @@
+import { countCauses, readLog, tellStory } from '..';
+
+/** One line of a process as its standard output holds it; `at` in milliseconds. */
+function line(host: string, at: number, fields: object): string {
+  const time = new Date(1_700_000_000_000 + at).toISOString();
+  return JSON.stringify({ level: 'info', time, host, ...fields });
+}
+
+function request(host: string, at: number, id: string, fields: object = {}): string {
+  const head = { event: 'request', request: id, program: 'p', kind: 'stream' };
+  return line(host, at, {
+    ...head,
+    outcome: 'answered',
+    status: 200,
+    milliseconds: 100,
+    ...fields,
+  });
+}
+
+describe('reading logs', () => {
+  it('takes lines with something before them, and counts what is none', () => {
+    const { lines, skipped } = readLog(`12.5 g1 ${request('g1', 0, 'r1')}\nnoise\n{"cut\n\n`);
+    expect(lines.map((entry) => entry.request)).toEqual(['r1']);
+    expect(skipped).toBe(2);
+  });
+});
+
+describe('the story of a program', () => {
+  it('follows what continues what, though a clock is five seconds behind', () => {
+    const { lines } = readLog(
+      [
+        request('g2', -4000, 'r2', { previous: 'r1' }),
+        request('g2', -3000, 'r4', { previous: 'r3' }),
+        request('g1', 0, 'r1'),
+        request('g1', 2000, 'r3', { previous: 'r2' }),
+      ].join('\n'),
+    );
+    const story = tellStory(lines, 'p');
+    expect(story.kind).toBe('program');
+    expect(story.lines.map((entry) => entry.request)).toEqual(['r1', 'r2', 'r3', 'r4']);
+  });
+
+  it('is empty for an id that no line names', () => {
+    expect(tellStory([], 'nobody')).toEqual({ kind: 'unknown', lines: [] });
+  });
+});
+
+describe('the story of a request', () => {
+  it('has what its process came to believe meanwhile, and nobody else', () => {
+    const { lines } = readLog(
+      [
+        line('g1', -9000, { event: 'peer-lost' }),
+        line('g1', 3000, { event: 'stores-out-of-reach' }),
+        line('g2', 3000, { event: 'peer-lost' }),
+        request('g1', 4000, 'other'),
+        request('g1', 5000, 'r1', { outcome: 'refused', status: 503, milliseconds: 1500 }),
+        line('g1', 6000, { event: 'stores-reached' }),
+      ].join('\n'),
+    );
+    const { kind, lines: told } = tellStory(lines, 'r1');
+    expect(kind).toBe('request');
+    expect(told.map(({ event }) => event)).toEqual(['stores-out-of-reach', 'request']);
+  });
+});
+
+describe('the causes for which programs did not end in time', () => {
+  const causesOf = (...rows: readonly string[]) => countCauses(readLog(rows.join('\n')).lines);
+
+  it('leave out programs that ended, or whose budget was spent', () => {
+    const spent = { outcome: 'refused', status: 402, code: 'budget_spent' };
+    const table = causesOf(
+      request('g1', 0, 'r1'),
+      request('g1', 1, 'r2', { ...spent, program: 'q' }),
+    );
+    expect(table).toEqual({ programs: 2, causes: [] });
+  });
+
+  it('name the last refusal, not one that was made good', () => {
+    const refused = { outcome: 'refused', status: 503, code: 'turns_unavailable' };
+    const table = causesOf(
+      request('g1', 0, 'r1', refused),
+      request('g1', 1, 'r2'),
+      request('g1', 2, 'r3', { ...refused, program: 'q' }),
+    );
+    expect(table.causes).toEqual([{ cause: 'refused: turns_unavailable', programs: 1 }]);
+  });
+
+  it('name the phase that took most of a late program', () => {
+    const late = { milliseconds: 3000, beganMilliseconds: 2800, programMilliseconds: 1000 };
+    const table = causesOf(
+      request('g1', 0, 'r1', { ...late, decisions: [{ step: 'prepare', milliseconds: 10 }] }),
+    );
+    expect(table.causes).toEqual([{ cause: 'late: wait for the first event', programs: 1 }]);
+  });
+});
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -49,7 +49,8 @@
   readonly #goneListeners = new Set<() => void>();
   readonly #decisions: Record<string, unknown>[] = [];
   #hasLeft = false;
-  #beganAt: number | undefined;
+  /** Time from the arrival to the first byte of a target's answer; milliseconds. */
+  #beganAfter: number | undefined;
   #route: Route | undefined;
 
   constructor(options: ExchangeOptions) {
@@ -113,7 +114,7 @@
 
   /** Begins the answer of a target. */
   begin(status: number, rawHeaders: readonly string[]): void {
-    this.#beganAt = this.#options.clock.monotonic();
+    this.#beganAfter = this.#options.clock.monotonic() - this.arrivedAt;
     this.#markClosing();
     this.response.writeHead(status, [...rawHeaders]);
   }
@@ -160,11 +161,14 @@
       event: 'request',
       request: this.head.id,
       program: this.head.program,
+      previous: this.head.previousTurn,
       programMilliseconds: this.head.programMilliseconds,
       route: this.#route?.name,
+      kind: this.#route?.kind,
       outcome,
       ...details,
       milliseconds: Math.round(milliseconds),
+      beganMilliseconds: this.#beganAfter === undefined ? undefined : Math.round(this.#beganAfter),
       late,
       decisions: this.#decisions,
     });
@@ -172,8 +176,8 @@
 
   /** Whether the answer began later than the route aims at; nothing if none began. */
   #isLate(): boolean | undefined {
-    if (this.#beganAt === undefined || this.#route === undefined) return undefined;
-    return this.#beganAt - this.arrivedAt > this.#route.aimMilliseconds;
+    if (this.#beganAfter === undefined || this.#route === undefined) return undefined;
+    return this.#beganAfter > this.#route.aimMilliseconds;
   }
 
   #markClosing(): void {
--- a/src/operator/command.ts
+++ b/src/operator/command.ts
@@ -6,6 +6,7 @@
 import { loadSettings } from '../settings';
 import { type ApplyOptions, type CommandOptions, apply, diff, validate } from './apply';
 import { OPERATOR_EXIT, type OperatorExit } from './exit';
+import { explain } from './explain';
 import { operatorSettingsSchema } from './session';
 import { SECTIONS, type Section, get, status } from './read';
 
@@ -81,6 +82,13 @@
       process.stdout.write(`${options.settings}: valid\n`);
       finish(OPERATOR_EXIT.done);
     });
+  program
+    .command('explain <id> <files...>')
+    .description('show what logs of processes say of one request or program, in order of cause')
+    .addOption(outputOption())
+    .action((id: string, files: readonly string[], options: Pick<CommandOptions, 'output'>) => {
+      finish(explain(id, files, options.output));
+    });
   program
     .command('digest-key')
     .description("read a caller's key from standard input and print the digest for a team's file")
