Targets that fail a part of their requests get fewer

A target's share of failures now counts, weighted to the newest and forgiven by half in five seconds, in the cost of both placers. Test seen failing without the share in the cost (the freer, failing one was taken).

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -19,6 +19,9 @@
 /** Shortest and longest pause that a refusal asks for; seconds. */
 const RETRY_AFTER_SECONDS = { shortest: 0.1, longest: 1 };
 
+/** Lowest status by which a target says that it failed. */
+const SERVER_ERROR = 500;
+
 /** Time that one request in front of another costs it, roughly; seconds. */
 const TURN_SECONDS = 0.1;
 
@@ -179,9 +182,11 @@
       ...('status' in outcome ? { status: outcome.status } : {}),
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
+    const isOver = kind === 'given-up' && !exchange.hasLeft();
     if (kind === 'not-run' && outcome.status === MISDIRECTED) state.noteGone();
+    else if (kind === 'answered' && outcome.status >= SERVER_ERROR) state.noteError();
     else if (kind === 'answered' || kind === 'streamed') state.noteSuccess();
-    else if (kind === 'not-sent' || kind === 'unknown') state.noteFailure();
+    else if (kind === 'not-sent' || kind === 'unknown' || isOver) state.noteFailure();
   }
 
   /** Nothing was done, or it is not known what was. */
--- a/src/targets/balancer.ts
+++ b/src/targets/balancer.ts
@@ -39,6 +39,9 @@
 /** What a request over zones costs: the way there, and the price of its bytes. Milliseconds. */
 const ZONE_MILLISECONDS = 8;
 
+/** What it costs on the average to try a turn that fails again; milliseconds. */
+const FAILURE_MILLISECONDS = 500;
+
 /** Places a turn where it is done soonest: tokens to be read, company there, and the way. */
 export class EnginePlacer implements Placer {
   readonly #availabilityZone: string;
@@ -60,6 +63,7 @@
     return (
       Math.max(0, unread) / PREFILL_TOKENS_PER_MILLISECOND +
       state.load * COMPANY_MILLISECONDS +
+      state.failureShare * FAILURE_MILLISECONDS +
       (state.target.availabilityZone === this.#availabilityZone ? 0 : ZONE_MILLISECONDS)
     );
   }
@@ -74,6 +78,9 @@
 /** Share of a target's slots by which one in another zone must be freer. */
 const ZONE_SHARE = 0.2;
 
+/** Share of its slots by which a target that fails every request must be freer than others. */
+const FAILURE_WEIGHT = 2;
+
 /** Places a call at the target with the largest share of free slots, preferably nearby. */
 export class SlotPlacer implements Placer {
   readonly #availabilityZone: string;
@@ -92,7 +99,8 @@
 
   #cost(state: TargetState): number {
     const near = state.target.availabilityZone === this.#availabilityZone;
-    return state.load / Math.max(1, state.target.slots) + (near ? 0 : ZONE_SHARE);
+    const load = state.load / Math.max(1, state.target.slots);
+    return load + state.failureShare * FAILURE_WEIGHT + (near ? 0 : ZONE_SHARE);
   }
 }
 
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -7,6 +7,12 @@
 /** Longest such time; the list drops a crashed server after some seconds. Milliseconds. */
 const LONGEST_PAUSE_MILLISECONDS = 3000;
 
+/** Weight of the newest outcome in the share of failures; three failures in a row make 0.66. */
+const OUTCOME_WEIGHT = 0.3;
+
+/** Time in which a share of failures that nothing confirms falls by half; milliseconds. */
+const FORGIVING_MILLISECONDS = 5000;
+
 /** What this process knows of one target. */
 export class TargetState {
   readonly #clock: Clock;
@@ -19,6 +25,8 @@
   /** Requests of other processes that were under way there when they last said so. */
   inFlightElsewhere = 0;
   #failures = 0;
+  #failureShare = 0;
+  #outcomeAt = 0;
   #pausedUntil = -Infinity;
 
   constructor(target: ListedTarget, clock: Clock) {
@@ -34,7 +42,31 @@
     return this.#clock.monotonic() < this.#pausedUntil;
   }
 
+  /** Share of the requests here that failed lately, 0 to 1; what is long ago counts less. */
+  get failureShare(): number {
+    const age = this.#clock.monotonic() - this.#outcomeAt;
+    return this.#failureShare * 0.5 ** (age / FORGIVING_MILLISECONDS);
+  }
+
+  /** Notes an answer that the target itself marks as a failure. */
+  noteError(): void {
+    this.#noteOutcome(1);
+    this.#endPause();
+  }
+
   noteSuccess(): void {
+    this.#noteOutcome(0);
+    this.#endPause();
+  }
+
+  #noteOutcome(failure: 0 | 1): void {
+    const share = this.failureShare;
+    this.#failureShare = share + (failure - share) * OUTCOME_WEIGHT;
+    this.#outcomeAt = this.#clock.monotonic();
+  }
+
+  /** The target answers. */
+  #endPause(): void {
     if (this.#pausedUntil === Infinity) return;
     this.#failures = 0;
     this.#pausedUntil = -Infinity;
@@ -47,6 +79,7 @@
 
   /** Keeps new work away for a time that grows with each failure in a row. */
   noteFailure(): void {
+    this.#noteOutcome(1);
     const pause = FIRST_PAUSE_MILLISECONDS * 2 ** this.#failures;
     this.#failures = Math.min(this.#failures + 1, 10);
     this.#pausedUntil = this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
--- a/src/targets/tests/balancer.test.ts
+++ b/src/targets/tests/balancer.test.ts
@@ -100,6 +100,20 @@
     expect(placer.place([failed], request({}), RANDOM)?.state).toBe(failed);
   });
 
+  it('prefers one that does not fail over a freer one that does, and forgives in time', () => {
+    const failing = target('p1');
+    const busy = target('p2');
+    busy.inFlight = 4;
+    for (let count = 0; count < 4; count += 1) {
+      failing.noteError();
+      failing.noteSuccess();
+      failing.noteError();
+    }
+    expect(placer.place([failing, busy], request({}), RANDOM)?.state).toBe(busy);
+    CLOCK.advance(20_000);
+    expect(placer.place([failing, busy], request({}), RANDOM)?.state).toBe(failing);
+  });
+
   it('passes over one whose address belongs to another for ever', () => {
     const gone = target('p1');
     gone.noteGone();
