A target whose address another has stays out after a failure, too

Cause, by reading: noteFailure set the pause of a target that was out for good to some hundred milliseconds. The test of such a target now notes a failure as well, seen failing before. Also: a stream that was given up after its first event counts for nothing against its engine (it is slow, not silent), and the parts remembered for an engine are bounded by number again beside tokens.

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -182,7 +182,7 @@
       ...('status' in outcome ? { status: outcome.status } : {}),
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    const isOver = kind === 'given-up' && !exchange.hasLeft();
+    const isOver = kind === 'given-up' && !outcome.began && !exchange.hasLeft();
     if (kind === 'not-run' && outcome.status === MISDIRECTED) state.noteGone();
     else if (kind === 'answered' && outcome.status >= SERVER_ERROR) state.noteError();
     else if (kind === 'answered' || kind === 'streamed') state.noteSuccess();
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -7,6 +7,9 @@
 /** Longest such time; the list drops a crashed server after some seconds. Milliseconds. */
 const LONGEST_PAUSE_MILLISECONDS = 3000;
 
+/** Prompt parts remembered for each engine at most, however few tokens they have. */
+const PART_LIMIT = 4096;
+
 /** Weight of the newest outcome in the share of failures; three failures in a row make 0.66. */
 const OUTCOME_WEIGHT = 0.3;
 
@@ -80,6 +83,7 @@
   /** Keeps new work away for a time that grows with each failure in a row. */
   noteFailure(): void {
     this.#noteOutcome(1);
+    if (this.#pausedUntil === Infinity) return;
     const pause = FIRST_PAUSE_MILLISECONDS * 2 ** this.#failures;
     this.#failures = Math.min(this.#failures + 1, 10);
     this.#pausedUntil = this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
@@ -97,7 +101,7 @@
       this.#partTokens += held;
     });
     for (const id of this.#parts.keys()) {
-      if (this.#partTokens <= memoryTokens) break;
+      if (this.#partTokens <= memoryTokens && this.#parts.size <= PART_LIMIT) break;
       this.#forget(id);
     }
   }
--- a/src/targets/tests/balancer.test.ts
+++ b/src/targets/tests/balancer.test.ts
@@ -118,6 +118,7 @@
     const gone = target('p1');
     gone.noteGone();
     gone.noteSuccess();
+    gone.noteFailure();
     CLOCK.advance(60_000);
     expect(gone.isPaused).toBe(true);
   });
