--- /dev/null
+++ b/bench/log.ts
@@ -0,0 +1,50 @@
+import { Metrics, SystemClock, createLogger } from '../src/core';
+import { LogOutput } from '../src/nodes/log-output';
+
+/** Lines between two turns of the event loop, as in a burst. */
+const LINES_AT_ONCE = 50;
+
+/** A line as a gateway writes it for a turn. */
+const LINE = {
+  event: 'request',
+  request: 'ca7a0b3b5551eb6d',
+  program: 'c2628ebc6654f1',
+  previous: '0f6d7be1a4c1d29e',
+  programMilliseconds: 5892,
+  route: 'r-1',
+  kind: 'stream',
+  outcome: 'answered',
+  status: 200,
+  events: 8,
+  milliseconds: 235,
+  beganMilliseconds: 80,
+  late: false,
+  decisions: [
+    {
+      step: 'prepare',
+      prompt: 4426,
+      parts: 2,
+      budget: 1700,
+      most: 136,
+      taken: 60,
+      chain: 'found',
+      milliseconds: 3,
+    },
+    { target: 'i-1', cost: 35, candidates: 6, load: [0, 8], outcome: 'streamed' },
+  ],
+};
+
+/** Processor time of one line on standard output; prints the figure on standard error. */
+export async function benchLog(lines: number): Promise<void> {
+  const output = new LogOutput(new SystemClock(), new Metrics());
+  const { stream } = output;
+  const logger = createLogger({ role: 'gateway', host: 'host', level: 'info', stream });
+  const before = process.cpuUsage();
+  for (let line = 0; line < lines; line += 1) {
+    logger.info(LINE);
+    if (line % LINES_AT_ONCE === 0) await new Promise(setImmediate);
+  }
+  const { user, system } = process.cpuUsage(before);
+  output.stop();
+  process.stderr.write(`${JSON.stringify({ lines, microseconds: (user + system) / lines })}\n`);
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { type ControlBenchOptions, benchControl } from './control';
 import { benchFootprint } from './footprint';
 import { benchLink } from './link';
+import { benchLog } from './log';
 import { benchNodes } from './nodes';
 import { type PathOptions, benchPath } from './path';
 
@@ -59,6 +60,13 @@
   .action(async (options: ControlBenchOptions) => {
     await benchControl(options);
   });
+program
+  .command('log')
+  .description('processor time of one line of a gateway; its lines go to standard output')
+  .option('--lines <number>', 'lines written', Number, 20_000)
+  .action(async (options: { readonly lines: number }) => {
+    await benchLog(options.lines);
+  });
 program
   .command('causes <files...>')
   .description('why the programs in logs of gateways did not end in time, by share')
