--- a/src/explain/log-line.ts
+++ b/src/explain/log-line.ts
@@ -28,6 +28,8 @@
   /** Time that the whole program had left when the request arrived. */
   programMilliseconds: z.number().optional(),
   decisions: z.array(decisionSchema).optional(),
+  /** Lines of the same event that this one stands for, in a story. */
+  repeated: z.number().optional(),
 });
 
 /** One line that a process wrote. */
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -20,15 +20,27 @@
 export function tellStory(lines: readonly LogLine[], id: string): Story {
   const own = lines.filter(({ request }) => request === id);
   if (own.length > 0) {
-    const beliefs = own.flatMap((line) => beliefsAround(lines, line));
-    const chosen = new Set([...own, ...beliefs]);
-    return { kind: 'request', lines: orderByCause(lines.filter((line) => chosen.has(line))) };
+    const beliefs = own.flatMap((line) => foldRepeats(beliefsAround(lines, line)));
+    return { kind: 'request', lines: orderByCause([...beliefs, ...own]) };
   }
   const ofProgram = lines.filter(({ program }) => program === id);
   const kind = ofProgram.length > 0 ? 'program' : 'unknown';
   return { kind, lines: orderByCause(ofProgram) };
 }
 
+/** Keeps the first line of each event, with the number of lines that it stands for. */
+function foldRepeats(lines: readonly LogLine[]): readonly LogLine[] {
+  const counts = new Map<string, number>();
+  for (const { event } of lines) counts.set(event, (counts.get(event) ?? 0) + 1);
+  const firsts = lines.filter(
+    ({ event }, index) => lines.findIndex((other) => other.event === event) === index,
+  );
+  return firsts.map((line) => {
+    const repeated = counts.get(line.event) ?? 1;
+    return repeated > 1 ? { ...line, repeated } : line;
+  });
+}
+
 /** A line is written at the end of its request, on the clock of the same host as the beliefs. */
 function beliefsAround(lines: readonly LogLine[], about: LogLine): readonly LogLine[] {
   const end = Date.parse(about.time);
--- a/src/explain/tests/explain.test.ts
+++ b/src/explain/tests/explain.test.ts
@@ -50,6 +50,8 @@
     const { lines } = readLog(
       [
         line('g1', -9000, { event: 'peer-lost' }),
+        line('g1', 2900, { event: 'quorum-missed', reason: 'first' }),
+        line('g1', 2950, { event: 'quorum-missed', reason: 'second' }),
         line('g1', 3000, { event: 'stores-out-of-reach' }),
         line('g2', 3000, { event: 'peer-lost' }),
         request('g1', 4000, 'other'),
@@ -59,7 +61,11 @@
     );
     const { kind, lines: told } = tellStory(lines, 'r1');
     expect(kind).toBe('request');
-    expect(told.map(({ event }) => event)).toEqual(['stores-out-of-reach', 'request']);
+    expect(told.map(({ event, repeated }) => [event, repeated])).toEqual([
+      ['quorum-missed', 2],
+      ['stores-out-of-reach', undefined],
+      ['request', undefined],
+    ]);
   });
 });
 
