--- a/tests/blocked-output.test.ts
+++ b/tests/blocked-output.test.ts
@@ -6,8 +6,8 @@
 import { type Address, SystemClock, delay, formatAddress } from '../src/core';
 import { findFreeAddresses } from '../src/local';
 
-/** Requests whose lines fill a pipe and all that a process keeps of unwritten ones: 0.6 MB. */
-const REQUESTS = 2400;
+/** Requests at once. */
+const BATCH = 500;
 
 const POLL_MILLISECONDS = 50;
 
@@ -87,12 +87,22 @@
     rmSync(folder, { recursive: true });
   });
 
-  it('answers every request, and counts the lines that it drops', async () => {
-    const asked = Array.from({ length: REQUESTS }, () => ask(callers, '/somewhere/a'));
-    const answers = await Promise.all(asked);
-    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([503]));
+  /** Lines that were dropped so far. */
+  const countDropped = async () => {
     const { body } = await ask(metrics, '/metrics');
-    const dropped = /^martenbay_log_lines_dropped_total (\d+)$/m.exec(body)?.[1];
-    expect(Number(dropped)).toBeGreaterThan(0);
+    const count = /^martenbay_log_lines_dropped_total (\d+)$/m.exec(body)?.[1] ?? '0';
+    return Number(count);
+  };
+
+  it('answers every request, until it drops lines and beyond', async () => {
+    const statuses = new Set<number>();
+    const askBatch = async () => {
+      const asked = Array.from({ length: BATCH }, () => ask(callers, '/somewhere/a'));
+      for (const { status } of await Promise.all(asked)) statuses.add(status);
+    };
+    // How much the system takes of an output that nobody reads differs from host to host.
+    while ((await countDropped()) === 0) await askBatch();
+    await askBatch();
+    expect(statuses).toEqual(new Set([503]));
   });
 });
