Explain counts repeated lines in one pass

Cause: the last reading; the first line of each event was looked up again for each line, beside a map of counts, where one map of the folded lines does both.

--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -30,15 +30,13 @@
 
 /** Keeps the first line of each event, with the number of lines that it stands for. */
 function foldRepeats(lines: readonly LogLine[]): readonly LogLine[] {
-  const counts = new Map<string, number>();
-  for (const { event } of lines) counts.set(event, (counts.get(event) ?? 0) + 1);
-  const firsts = lines.filter(
-    ({ event }, index) => lines.findIndex((other) => other.event === event) === index,
-  );
-  return firsts.map((line) => {
-    const repeated = counts.get(line.event) ?? 1;
-    return repeated > 1 ? { ...line, repeated } : line;
-  });
+  const folded = new Map<string, LogLine>();
+  for (const line of lines) {
+    const first = folded.get(line.event);
+    if (first === undefined) folded.set(line.event, line);
+    else folded.set(line.event, { ...first, repeated: (first.repeated ?? 1) + 1 });
+  }
+  return [...folded.values()];
 }
 
 /** A line is written at the end of its request, on the clock of the same host as the beliefs. */
