Budgets hold on routes of every kind

Cause: TurnHandler reserved tokens only on routes that keep turns, so a program on any other route was never held to its budget; programs that loop took engines from the others. Besides, reservations at once that fit singly but not together refused one another, since each saw all the others. Change: TurnPreparer (out of turn-handler.ts) reserves wherever a budget is named; a turn that is not kept tells the stores what it generated (turns.settle, in place of turns.release). Of contending reservations those with the smallest names look again until the others have withdrawn: 40 ms at most. Ruled out: a durable settlement: a store that misses it counts the most of the turn, which is safe. Order of arrival at one store in place of names: unsafe where another reserver needs a second round.

--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -1,10 +1,11 @@
-import { Metrics, createSilentLogger } from '../../core';
+import { Metrics } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import type { Route, RouteTable } from '../../routes';
 import { type TurnClient, TurnsUnavailable } from '../../turns';
 import type { Exchange, Refusal } from '../exchange';
 import type { Forwarder } from '../forwarder';
 import { TurnHandler } from '../turn-handler';
+import { TurnPreparer } from '../turn-preparer';
 
 const ROUTE = { name: 'r', kind: 'stream', retentionSeconds: 60 } as unknown as Route;
 const TABLE = { configuration: { limits: { bodyBytes: 1000 } } } as unknown as RouteTable;
@@ -26,14 +27,13 @@
       deadlines.push(deadline - clock.monotonic());
       return Promise.reject(new TurnsUnavailable('too few stores answer'));
     },
-    release: () => undefined,
+    settle: () => undefined,
   } as unknown as TurnClient;
   const handler = new TurnHandler({
     forwarder: {} as unknown as Forwarder,
+    preparer: new TurnPreparer({ turns, watch: { reachesQuorum }, clock }),
     turns,
-    watch: { reachesQuorum },
     clock,
-    logger: createSilentLogger(),
     metrics: new Metrics(),
   });
   await handler.handle(exchange, ROUTE, TABLE);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClusterClient } from '../cluster';
 import { type Issue, LifeCycle, type Logger, delay, formatIssue, parseAddress } from '../core';
-import { Forwarder, GatewayServer, TurnHandler, type Wire } from '../gateway';
+import { Forwarder, GatewayServer, TurnHandler, TurnPreparer, type Wire } from '../gateway';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
   EnginePlacer,
@@ -109,7 +109,8 @@
   const watch = new StoreWatch({ view, peers, clock, logger });
   const turnParts = { availabilityZone, view, cache, watch, peers, clock, logger, metrics };
   const turns = new TurnClient(turnParts);
-  const turnHandler = new TurnHandler({ forwarder, turns, watch, clock, logger, metrics });
+  const preparer = new TurnPreparer({ turns, watch, clock });
+  const turnHandler = new TurnHandler({ forwarder, preparer, turns, clock, metrics });
   let table: RouteTable | undefined;
   let leaving = false;
   const isReady = () => !leaving && table !== undefined && targets.isLoaded && watch.reachesQuorum;
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -1,12 +1,13 @@
 import type { Newest, StoreView, ViewMember } from '../cluster';
 import { type Clock, type Logger, type Metrics, delay, messageOf } from '../core';
 import type { Caller } from '../link';
+import { type ReserveOptions, type ReserveOutcome, judgeBudget } from './budget';
 import type { ChainCache } from './chain-cache';
 import type { ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
 import { TurnsUnavailable } from './errors';
 import type { StoreWatch } from './store-watch';
 import { type Round, askMembers } from './quorum';
-import type { Reservation, TurnRecord } from './records';
+import type { TurnRecord } from './records';
 
 /** Longest wait for one store; a sync takes 1 ms, a disk may stall for seconds. Milliseconds. */
 const ANSWER_MILLISECONDS = 500;
@@ -17,6 +18,12 @@
 /** Pause before stores are asked again; milliseconds. */
 const RETRY_MILLISECONDS = 40;
 
+/** Looks of a reserver that waits for others to withdraw; their first rounds take 15 ms or less. */
+const CONTENDED_LOOKS = 4;
+
+/** Pause before each such look: a message there and a sync; milliseconds. */
+const CONTENDED_MILLISECONDS = 10;
+
 export interface TurnClientOptions {
   readonly availabilityZone: string;
   readonly view: Newest<StoreView>;
@@ -28,24 +35,6 @@
   readonly metrics: Metrics;
 }
 
-export interface ReserveOptions {
-  readonly program: string;
-  readonly turn: string;
-  /** Tokens that the turn may generate at most. */
-  readonly most: number;
-  /** Tokens that all turns of the program may generate together. */
-  readonly budget: number;
-  /** Monotonic time after which the answer is of no use. */
-  readonly deadline: number;
-}
-
-/** Whether a turn's tokens fit in what is left of the budget, and what the others take of it. */
-export interface ReserveOutcome {
-  readonly fits: boolean;
-  /** Tokens that the program's other turns have generated, or may generate. */
-  readonly taken: number;
-}
-
 /** The chain that a turn continues, oldest turn first; or that there is no such turn. */
 export type ChainLookup =
   { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
@@ -61,11 +50,28 @@
   }
 
   /**
-   * Reserves a turn's tokens; resolves with whether they fit in the budget. When every store has
-   * answered, the last reserver has seen all others. Otherwise a second round is needed: it begins
-   * after the reservation stands at a quorum, so of two reservers one sees the other.
+   * Reserves a turn's tokens; resolves with whether they fit in the budget. Of several reservations
+   * at once that fit singly but not together, those with the smallest names are granted: they look
+   * again until the others have withdrawn, which is when their reservers give them back.
    */
   async reserve(options: ReserveOptions): Promise<ReserveOutcome> {
+    const { clock, metrics } = this.#options;
+    let verdict = judgeBudget(await this.#firstReservations(options), options);
+    for (let look = 0; verdict.kind === 'contended' && look < CONTENDED_LOOKS; look += 1) {
+      if (clock.monotonic() + CONTENDED_MILLISECONDS >= options.deadline) break;
+      metrics.count('contended_reservations_total');
+      await delay(clock, CONTENDED_MILLISECONDS);
+      verdict = judgeBudget(await this.#readReservations(options), options);
+    }
+    return { fits: verdict.kind === 'fits', taken: verdict.taken };
+  }
+
+  /**
+   * Writes a reservation and reads the others. When every store has answered, the last reserver has
+   * seen all others. Otherwise a second round is needed: it begins after the reservation stands at
+   * a quorum, so of two reservers one sees the other.
+   */
+  async #firstReservations(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
     const { program, turn, most, deadline } = options;
     const first = await this.#atQuorum<ReservationsAnswer>({
       deadline,
@@ -75,23 +81,34 @@
         this.#call(address, 'turns.reserve', { epoch: view.epoch, program, turn, most }),
     });
     const unanimous = first.all && first.answers.every((answer) => answer.complete);
-    if (unanimous) return judge(first.answers, options);
+    if (unanimous) return first.answers;
     this.#options.metrics.count('reservations_in_two_rounds_total');
-    const second = await this.#atQuorum<ReservationsAnswer>({
+    return [...first.answers, ...(await this.#readReservations(options))];
+  }
+
+  /** What a quorum of complete stores knows of a program's reservations. */
+  async #readReservations({
+    program,
+    deadline,
+  }: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+    const { answers } = await this.#atQuorum<ReservationsAnswer>({
       deadline,
       graceMilliseconds: 0,
       counts: (answer) => answer.complete,
       ask: (view, { address }) =>
         this.#call(address, 'turns.reservations', { epoch: view.epoch, program }),
     });
-    return judge([...first.answers, ...second.answers], options);
+    return answers;
   }
 
-  /** Gives a reservation back: the turn was not run. */
-  release(program: string, turn: string): void {
+  /**
+   * Tells the stores what a turn that is not kept has generated, 0 if it was not run. A store that
+   * misses it counts the most that the turn might have generated.
+   */
+  settle(program: string, turn: string, tokens: number): void {
     const { view, peers } = this.#options;
     for (const { address } of view.value?.members ?? []) {
-      peers.cast(address, 'turns.release', { program, turn });
+      peers.cast(address, 'turns.settle', { program, turn, tokens });
     }
   }
 
@@ -210,23 +227,6 @@
   }
 }
 
-function judge(
-  answers: readonly ReservationsAnswer[],
-  { turn, most, budget }: ReserveOptions,
-): ReserveOutcome {
-  const others = new Map<string, Reservation>();
-  for (const { reservations } of answers) {
-    for (const reservation of reservations) {
-      if (reservation.turn === turn) continue;
-      const present = others.get(reservation.turn);
-      if (present?.settled !== true) others.set(reservation.turn, reservation);
-    }
-  }
-  let taken = 0;
-  for (const { tokens } of others.values()) taken += tokens;
-  return { fits: taken + most <= budget, taken };
-}
-
 function accepted<Answer extends { readonly kind: string }>(
   answers: readonly Reply<Answer>[],
 ): readonly Answer[] {
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -20,6 +20,13 @@
   readonly most: number;
 }
 
+export interface SettleNotice {
+  readonly program: string;
+  readonly turn: string;
+  /** 0 for a turn that was not run. */
+  readonly tokens: number;
+}
+
 /** Reservations of a program, as one store knows them. */
 export interface ReservationsAnswer {
   readonly kind: 'reservations';
@@ -84,7 +91,7 @@
     };
   };
   readonly casts: {
-    /** Gives back the reservation of a turn that was not run. */
-    readonly 'turns.release': { readonly program: string; readonly turn: string };
+    /** Tells what a turn that is not kept has generated, so that its reservation shrinks to that. */
+    readonly 'turns.settle': SettleNotice;
   };
 }
--- a/src/turns/index.ts
+++ b/src/turns/index.ts
@@ -1,10 +1,6 @@
+export { type BudgetVerdict, type ReserveOutcome, judgeBudget } from './budget';
 export { ChainCache } from './chain-cache';
-export {
-  type ChainLookup,
-  type ReserveOutcome,
-  TurnClient,
-  type TurnClientOptions,
-} from './client';
+export { type ChainLookup, TurnClient, type TurnClientOptions } from './client';
 export type { TurnContract } from './contract';
 export { TurnsUnavailable } from './errors';
 export { Filler } from './filler';
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -16,6 +16,7 @@
   RecordRequest,
   ReservationsAnswer,
   ReserveRequest,
+  SettleNotice,
   TurnContract,
   ViewMismatch,
 } from './contract';
@@ -83,8 +84,8 @@
 
   get casts(): CastHandlers<TurnContract> {
     return {
-      'turns.release': ({ program, turn }) => {
-        this.#release(program, turn);
+      'turns.settle': (notice) => {
+        this.#settle(notice);
       },
     };
   }
@@ -159,13 +160,13 @@
     });
   }
 
-  #release(program: string, turn: string): void {
+  #settle({ program, turn, tokens }: SettleNotice): void {
     const { journal, clock, logger } = this.#options;
-    const reservations = [{ turn, tokens: 0, settled: true }];
+    const reservations = [{ turn, tokens, settled: true }];
     journal
       .add([{ kind: 'budget', program, reservations, changedAt: clock.now() }])
       .catch((error: unknown) => {
-        logger.warn({ event: 'release-not-kept', program, turn, error: messageOf(error) });
+        logger.warn({ event: 'budget-not-settled', program, turn, error: messageOf(error) });
       });
   }
 
--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -32,7 +32,14 @@
         else note();
       });
     }) as Caller<TurnContract>['call'],
-    cast: () => undefined,
+    cast: (store: string, _name: string, notice: { readonly turn: string }) => {
+      const noted = this.#reservations.get(store) ?? [];
+      const withdrawn = { turn: notice.turn, tokens: 0, settled: true };
+      this.#reservations.set(store, [
+        ...noted.filter(({ turn }) => turn !== notice.turn),
+        withdrawn,
+      ]);
+    },
     isConnected: () => true,
   };
 
@@ -57,6 +64,15 @@
   });
 }
 
+/** Lets 60 ms pass, in steps after each of which what waits can go on. */
+async function passTime(clock: ManualClock): Promise<void> {
+  for (let step = 0; step < 6; step += 1) {
+    await settle();
+    clock.advance(10);
+  }
+  await settle();
+}
+
 describe('reservations of turns at the same time', () => {
   const reserve = (client: TurnClient, turn: string) =>
     client.reserve({ program: 'p', turn, most: MOST, budget: 2 * MOST, deadline: 1000 });
@@ -69,13 +85,34 @@
       const client = createClient(stores, clock);
       const answers = Promise.all(['t1', 't2', 't3'].map((turn) => reserve(client, turn)));
       stores.letThrough(['b t1', 'c t2', 'a t3', 'a t1', 'b t2', 'c t3']);
-      await settle();
-      clock.advance(20);
+      await passTime(clock);
       const granted = (await answers).filter(({ fits }) => fits);
       expect(granted.length).toBeLessThanOrEqual(2);
     });
   });
 
+  describe('where they fit singly but not together', () => {
+    it('grants as many as fit, and refuses the others at once', async () => {
+      const clock = new ManualClock();
+      const stores = new NotingStores();
+      stores.holds = true;
+      const client = createClient(stores, clock);
+      const turns = ['t1', 't2', 't3', 't4', 't5'];
+      const answers = turns.map(async (turn) => {
+        const { fits } = await reserve(client, turn);
+        if (!fits) client.settle('p', turn, 0);
+        return { turn, fits, after: clock.monotonic() };
+      });
+      stores.letThrough(turns.map((turn) => `a ${turn}`));
+      stores.letThrough(turns.toReversed().map((turn) => `b ${turn}`));
+      stores.letThrough(turns.map((turn) => `c ${turn}`));
+      await passTime(clock);
+      const outcomes = await Promise.all(answers);
+      expect(outcomes.map(({ fits }) => fits)).toEqual([true, true, false, false, false]);
+      expect(outcomes.map(({ after }) => after)).toEqual([10, 10, 0, 0, 0]);
+    });
+  });
+
   describe('where all stores answer', () => {
     it('grants what fits in one round', async () => {
       const client = createClient(new NotingStores(), new ManualClock());
--- a/src/turns/tests/store-run.ts
+++ b/src/turns/tests/store-run.ts
@@ -130,7 +130,10 @@
       deadline: clock.monotonic() + 1000,
     };
     turns.reserve(request).then(({ fits }) => {
-      if (!fits) return;
+      if (!fits) {
+        turns.settle(program, request.turn, 0);
+        return;
+      }
       const granted = (this.#granted.get(program) ?? 0) + MOST;
       this.#granted.set(program, granted);
       if (granted > budget) this.#violations.push(`${program} was granted ${granted} tokens`);
