A store that is silent no longer holds turns

Change: no round waits its grace for a store that was silent in the last one (it is asked all the same, and expected again once it answers); for a chain the next store is asked after 25 ms. Ruled out: counting each store that a round without a grace did not wait for as silent: healthy ones would be. Tests: src/turns/tests/quorum, new functions; the grace test fails where silence is not looked at.

--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -3,10 +3,10 @@
 import type { Caller } from '../link';
 import { type ReserveOptions, type ReserveOutcome, judgeBudget } from './budget';
 import type { ChainCache } from './chain-cache';
-import type { ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
+import type { ChainAnswer, ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
 import { TurnsUnavailable } from './errors';
 import type { StoreWatch } from './store-watch';
-import { type Round, askMembers } from './quorum';
+import { type Round, askInTurn, askMembers } from './quorum';
 import type { TurnRecord } from './records';
 
 /** Longest wait for one store; a sync takes 1 ms, a disk may stall for seconds. Milliseconds. */
@@ -15,6 +15,12 @@
 /** Longest wait for all stores once a quorum has answered; twice a round trip. Milliseconds. */
 const GRACE_MILLISECONDS = 12;
 
+/**
+ * Time after which the next store is asked for a chain too; a store answers in 5 ms, and one that
+ * was lost without a word would hold the turn for its whole answer time. Milliseconds.
+ */
+const STAGGER_MILLISECONDS = 25;
+
 /** Pause before stores are asked again; milliseconds. */
 const RETRY_MILLISECONDS = 40;
 
@@ -44,6 +50,8 @@
 /** Reads and writes turns and budgets at a quorum of the stores in use. */
 export class TurnClient {
   readonly #options: TurnClientOptions;
+  /** Stores whose last answer came too late or not at all; no round waits for them. */
+  readonly #silent = new Set<string>();
 
   constructor(options: TurnClientOptions) {
     this.#options = options;
@@ -141,34 +149,42 @@
     return { kind: 'found', records };
   }
 
-  /** Asks store after store, the nearest first; nothing if a quorum says that it is not there. */
+  /** Nothing if a quorum says that the turn is not there. */
   async #fetch(id: string, deadline: number): Promise<readonly TurnRecord[]> {
-    const { clock, cache, metrics, logger } = this.#options;
+    const { clock, metrics, view } = this.#options;
     metrics.count('chains_fetched_total');
     while (clock.monotonic() < deadline) {
-      const view = this.#options.view.value;
-      const absentAt = new Set<string>();
-      for (const member of this.#nearestFirst(view)) {
-        if (view === undefined || this.#options.view.value !== view) break;
-        try {
-          const request = { epoch: view.epoch, turn: id };
-          const answer = await this.#call(member.address, 'turns.chain', request);
-          this.#learn(answer);
-          if (answer.kind !== 'chain') continue;
-          for (const record of answer.records) cache.add(record);
-          if (answer.records.length > 0) return answer.records;
-          if (answer.complete) absentAt.add(member.name);
-          if (absentAt.size >= view.quorum) return [];
-        } catch (error) {
-          const details = { turn: id, store: member.name, error: messageOf(error) };
-          logger.info({ event: 'chain-not-read', ...details });
-        }
-      }
+      const present = view.value;
+      const found = present === undefined ? undefined : await this.#fetchIn(present, id);
+      if (found !== undefined) return found;
       await delay(clock, RETRY_MILLISECONDS);
     }
     throw new TurnsUnavailable(`too few stores answer for turn ${id}`);
   }
 
+  /** Asks the stores of a view, the nearest first; nothing if they can't tell for certain. */
+  #fetchIn(view: StoreView, id: string): Promise<readonly TurnRecord[] | undefined> {
+    const { clock, cache, logger } = this.#options;
+    const absentAt = new Set<string>();
+    return askInTurn<Reply<ChainAnswer>, readonly TurnRecord[]>({
+      members: this.#nearestFirst(view),
+      clock,
+      staggerMilliseconds: STAGGER_MILLISECONDS,
+      ask: ({ address }) => this.#call(address, 'turns.chain', { epoch: view.epoch, turn: id }),
+      decide: (answer, { name }) => {
+        this.#learn(answer);
+        if (answer.kind !== 'chain') return undefined;
+        for (const record of answer.records) cache.add(record);
+        if (answer.records.length > 0) return answer.records;
+        if (answer.complete) absentAt.add(name);
+        return absentAt.size >= view.quorum ? [] : undefined;
+      },
+      onFailure: (error, { name }) => {
+        logger.info({ event: 'chain-not-read', turn: id, store: name, error: messageOf(error) });
+      },
+    });
+  }
+
   #nearestFirst(view: StoreView | undefined): readonly ViewMember[] {
     const { availabilityZone, peers } = this.#options;
     const rank = (member: ViewMember) =>
@@ -193,11 +209,16 @@
           view,
           clock,
           graceMilliseconds: options.graceMilliseconds,
-          ask: (member) => options.ask(view, member),
+          isExpected: ({ name }) => !this.#silent.has(name),
+          ask: (member) => this.#listen(member, options.ask(view, member)),
           isEnough: (answers) =>
             accepted<Answer>(answers).filter(options.counts).length >= view.quorum,
           describeFailure: messageOf,
         });
+        // Without a grace a round ends before the slowest store could answer.
+        if (options.graceMilliseconds > 0) {
+          for (const name of round.waiting) this.#silent.add(name);
+        }
         for (const answer of round.answers) this.#learn(answer);
         const answers = accepted<Answer>(round.answers);
         if (answers.filter(options.counts).length >= view.quorum) {
@@ -214,6 +235,18 @@
     }
   }
 
+  /** Notes whether a store answers, also where nobody waits for it any more. */
+  async #listen<Answer>(member: ViewMember, answering: Promise<Answer>): Promise<Answer> {
+    try {
+      const answer = await answering;
+      this.#silent.delete(member.name);
+      return answer;
+    } catch (error) {
+      this.#silent.add(member.name);
+      throw error;
+    }
+  }
+
   #call<Name extends keyof TurnContract['calls']>(
     address: string,
     name: Name,
