Processes that all start at once serve before a leader is elected

Change: a host with a disk keeps the newest committed configuration and view (src/cluster/known-state.ts) and goes by them at once; reads and changes still go to the leader. Connections are given up after 350 ms; a process that knows no configuration or view greets every 75 ms; stores out of reach are looked for every 100 ms. Ruled out: a shorter election: a member that starts may have promised a lease that it has forgotten. The log's own entries: they may not have been committed.

--- a/src/cluster/greeter.ts
+++ b/src/cluster/greeter.ts
@@ -14,6 +14,9 @@
 /** Pause between greetings; a change must be known everywhere within 2 s. Milliseconds. */
 export const GREETING_MILLISECONDS = 300;
 
+/** The same while no configuration or no view is known, as after a start. Milliseconds. */
+const STARTING_MILLISECONDS = 75;
+
 /** Longest wait for an answer; milliseconds. */
 const ANSWER_MILLISECONDS = 1000;
 
@@ -37,13 +40,14 @@
 export class Greeter implements Component {
   readonly #options: GreeterOptions;
   readonly #task: PeriodicTask;
+  #greetedAt = -Infinity;
   #leader: LeaderHint | undefined;
   #leaderHeardAt = -Infinity;
 
   constructor(options: GreeterOptions) {
     this.#options = options;
-    this.#task = new PeriodicTask(options.clock, GREETING_MILLISECONDS, () => {
-      this.#greetAll();
+    this.#task = new PeriodicTask(options.clock, STARTING_MILLISECONDS, () => {
+      if (this.#isDue()) this.#greetAll();
     });
   }
 
@@ -70,9 +74,17 @@
     this.#leaderHeardAt = this.#options.clock.monotonic();
   }
 
+  #isDue(): boolean {
+    const { clock, configuration, view } = this.#options;
+    if (configuration.number === 0 || view.number === 0) return true;
+    const sinceLast = clock.monotonic() - this.#greetedAt;
+    return sinceLast > GREETING_MILLISECONDS - STARTING_MILLISECONDS / 2;
+  }
+
   /** Greets seeds, keepers of the cluster's state and nothing else. */
   #greetAll(): void {
-    const { directory, seeds, self } = this.#options;
+    const { directory, seeds, self, clock } = this.#options;
+    this.#greetedAt = clock.monotonic();
     const keepers = directory.all().filter(({ node }) => node.keepsClusterState);
     const addresses = new Set([...seeds(), ...keepers.map(({ node }) => node.address)]);
     addresses.delete(self.address);
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -5,6 +5,7 @@
 export { Founding } from './founding';
 export { Greeter } from './greeter';
 export { type ClusterCommand, ClusterMachine, type CommandOutcome } from './machine';
+export { KnownState, type KnownStateOptions } from './known-state';
 export { ClusterMember } from './member';
 export { Newest } from './newest';
 export type { KnownNode, NodeInfo, NodeKind, NodeStatus } from './node';
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -3,8 +3,11 @@
 import { LinkError } from './errors';
 import { type Frame, FrameDecoder, writeFrame } from './frame';
 
-/** Longest time to open a connection; a round trip inside a region takes 3 ms. */
-const CONNECT_MILLISECONDS = 700;
+/**
+ * Longest time to open a connection; a round trip between regions takes 20 ms. A host that was dark
+ * is tried again this soon, while the kernel would repeat its first packet after a second.
+ */
+const CONNECT_MILLISECONDS = 350;
 
 /** Pause after a failed connection before the next one; milliseconds. */
 const RETRY_MILLISECONDS = 100;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -141,6 +141,7 @@
   lifeCycle.add('pause-watch', new PauseWatch(parts));
   lifeCycle.add('peers', peers);
   lifeCycle.add('connections', connections);
+  if (keepsClusterState) lifeCycle.add('known-state', parts.createKnownState());
   if (keeper !== undefined) lifeCycle.add('cluster-state', keeper.member);
   lifeCycle.add(
     'listener',
--- a/src/nodes/node.ts
+++ b/src/nodes/node.ts
@@ -16,6 +16,7 @@
   Founding,
   Greeter,
   type KeeperParts,
+  KnownState,
   Newest,
   NodeDirectory,
   type NodeInfo,
@@ -144,6 +145,11 @@
     return { member, viewKeeper };
   }
 
+  /** What this host knew before it was started again; it must have a disk. */
+  createKnownState(): KnownState {
+    return new KnownState({ ...this.#shared, store: this.openStore('known') });
+  }
+
   createService(
     self: NodeInfo,
     parts: {
--- a/src/turns/store-watch.ts
+++ b/src/turns/store-watch.ts
@@ -7,6 +7,9 @@
 /** Pause between looks; milliseconds. */
 const LOOK_MILLISECONDS = 400;
 
+/** Pause between looks while the stores are out of reach, as after a start; milliseconds. */
+const SEEKING_MILLISECONDS = 100;
+
 /** Longest wait for a store's answer to a look; milliseconds. */
 const ANSWER_MILLISECONDS = 350;
 
@@ -28,11 +31,12 @@
   readonly #options: StoreWatchOptions;
   readonly #task: PeriodicTask;
   #succeededAt = -Infinity;
+  #lookedAt = -Infinity;
   #failures = FAILED_LOOKS;
 
   constructor(options: StoreWatchOptions) {
     this.#options = options;
-    this.#task = new PeriodicTask(options.clock, LOOK_MILLISECONDS, () => this.#look());
+    this.#task = new PeriodicTask(options.clock, SEEKING_MILLISECONDS, () => this.#look());
   }
 
   start(): void {
@@ -57,7 +61,10 @@
   /** Asks the stores unless a turn has shown just now that they answer. */
   async #look(): Promise<void> {
     const { view, clock } = this.#options;
-    if (clock.monotonic() - this.#succeededAt < LOOK_MILLISECONDS) return;
+    const now = clock.monotonic();
+    const lastAt = Math.max(this.#succeededAt, this.#lookedAt);
+    if (this.reachesQuorum && now - lastAt < LOOK_MILLISECONDS) return;
+    this.#lookedAt = now;
     const present = view.value;
     const reached = present !== undefined && (await this.#reaches(present));
     if (reached) {
