Causes by window, and by the worth that was lost

Cause: a count of programs says little where one takes ten times as long as another, and nothing of when it was lost. Test: src/explain, one new.

--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -1,36 +1,113 @@
 import type { LogLine } from './log-line';
 import { orderByCause } from './order';
 
-/** Why programs did not end in time, each with the number of programs. */
+/** Why programs did not end in time. */
 export interface CauseTable {
   readonly programs: number;
-  /** Most frequent first. */
+  /** Most costly first. */
   readonly causes: readonly Cause[];
+  /** Those spans of time in which programs began that did not end in time; in order. */
+  readonly windows: readonly CauseWindow[];
 }
 
 export interface Cause {
   readonly cause: string;
   readonly programs: number;
+  /** Part of the worth of all programs that was lost by it, 0 to 1; worth goes by a program's time. */
+  readonly share: number;
+}
+
+/** Programs that began in one span of time. */
+export interface CauseWindow {
+  /** Seconds from the first line to the beginning of the span. */
+  readonly from: number;
+  readonly programs: number;
+  readonly causes: readonly Cause[];
+}
+
+/** How one program came out. */
+interface Verdict {
+  /** Time of day at which its first request arrived; milliseconds. */
+  readonly beganAt: number;
+  /** Its whole time as its first request states it; 1 if none does. Milliseconds. */
+  readonly worth: number;
+  /** Nothing if it ended in time, as far as the logs tell. */
+  readonly cause: string | undefined;
 }
 
 /** Share of a late program's time that one phase must take to be named as its cause. */
 const MAIN_SHARE = 0.35;
 
-/** Counts the programs whose last request failed, or ended after the program's time, by cause. */
+/** Length of a window; milliseconds. */
+const WINDOW_MILLISECONDS = 2000;
+
+/** Part of a program's worth that is lost where it ends late rather than not at all. */
+const LATE_LOSS = 0.7;
+
+/**
+ * Sums up the programs whose last request failed, or ended after the program's time, by cause and by
+ * the time at which they began.
+ */
 export function countCauses(lines: readonly LogLine[]): CauseTable {
-  const byProgram = groupByProgram(lines);
-  const counts = new Map<string, number>();
-  for (const requests of byProgram.values()) {
-    const cause = causeOf(orderByCause(requests));
-    if (cause !== undefined) counts.set(cause, (counts.get(cause) ?? 0) + 1);
-  }
-  const causes = [...counts].map(([cause, programs]) => ({ cause, programs }));
+  const verdicts = [...groupByProgram(lines).values()].map(judge);
+  const worth = verdicts.reduce((sum, verdict) => sum + verdict.worth, 0);
+  return {
+    programs: verdicts.length,
+    causes: sumUp(verdicts, worth),
+    windows: sumUpWindows(verdicts, worth),
+  };
+}
+
+function judge(requests: readonly LogLine[]): Verdict {
+  const ordered = orderByCause(requests);
+  const [first] = ordered;
+  const endedAt = Date.parse(first?.time ?? '');
   return {
-    programs: byProgram.size,
-    causes: causes.sort((left, right) => right.programs - left.programs),
+    beganAt: endedAt - (first?.milliseconds ?? 0),
+    worth: first?.programMilliseconds ?? 1,
+    cause: causeOf(ordered),
   };
 }
 
+function sumUpWindows(verdicts: readonly Verdict[], worth: number): readonly CauseWindow[] {
+  const start = Math.min(...verdicts.map(({ beganAt }) => beganAt));
+  const windows = new Map<number, Verdict[]>();
+  for (const verdict of verdicts) {
+    const index = Math.floor((verdict.beganAt - start) / WINDOW_MILLISECONDS);
+    windows.set(index, [...(windows.get(index) ?? []), verdict]);
+  }
+  return [...windows]
+    .sort(([left], [right]) => left - right)
+    .map(([index, members]) => ({
+      from: (index * WINDOW_MILLISECONDS) / 1000,
+      programs: members.length,
+      causes: sumUp(members, worth),
+    }))
+    .filter(({ causes }) => causes.length > 0);
+}
+
+function sumUp(verdicts: readonly Verdict[], worth: number): readonly Cause[] {
+  const sums = new Map<string, { programs: number; lost: number }>();
+  for (const { cause, worth: own } of verdicts) {
+    if (cause === undefined) continue;
+    const sum = sums.get(cause) ?? { programs: 0, lost: 0 };
+    sums.set(cause, sum);
+    sum.programs += 1;
+    sum.lost += cause.startsWith(LATE) ? own * LATE_LOSS : own;
+  }
+  return [...sums]
+    .sort(([, left], [, right]) => right.lost - left.lost)
+    .map(([cause, { programs, lost }]) => ({ cause, programs, share: round(lost / worth) }));
+}
+
+/** To a hundredth of a percent. */
+function round(share: number): number {
+  return Math.round(share * 10_000) / 10_000;
+}
+
+/** How the causes of late programs begin. */
+const LATE = 'late: ';
+
 function groupByProgram(lines: readonly LogLine[]): ReadonlyMap<string, readonly LogLine[]> {
   const groups = new Map<string, LogLine[]>();
   for (const line of lines) {
@@ -49,7 +126,7 @@
   const failure = failureOf(last);
   if (failure !== undefined) return failure;
   const left = (last.programMilliseconds ?? Infinity) - (last.milliseconds ?? 0);
-  return left < 0 ? `late: ${mainPhase(requests)}` : undefined;
+  return left < 0 ? LATE + mainPhase(requests) : undefined;
 }
 
 /** The budget ends programs that would go on for ever. */
--- a/src/explain/tests/explain.test.ts
+++ b/src/explain/tests/explain.test.ts
@@ -78,7 +78,7 @@
       request('g1', 0, 'r1'),
       request('g1', 1, 'r2', { ...spent, program: 'q' }),
     );
-    expect(table).toEqual({ programs: 2, causes: [] });
+    expect(table).toEqual({ programs: 2, causes: [], windows: [] });
   });
 
   it('name the last refusal, not one that was made good', () => {
@@ -88,7 +88,8 @@
       request('g1', 1, 'r2'),
       request('g1', 2, 'r3', { ...refused, program: 'q' }),
     );
-    expect(table.causes).toEqual([{ cause: 'refused: turns_unavailable', programs: 1 }]);
+    const cause = { cause: 'refused: turns_unavailable', programs: 1, share: 0.5 };
+    expect(table.causes).toEqual([cause]);
   });
 
   it('name the phase that took most of a late program', () => {
@@ -96,6 +97,17 @@
     const table = causesOf(
       request('g1', 0, 'r1', { ...late, decisions: [{ step: 'prepare', milliseconds: 10 }] }),
     );
-    expect(table.causes).toEqual([{ cause: 'late: wait for the first event', programs: 1 }]);
+    const cause = { cause: 'late: wait for the first event', programs: 1, share: 0.7 };
+    expect(table.causes).toEqual([cause]);
+  });
+
+  it('are told by the time at which the programs began, and by what was lost of the worth', () => {
+    const late = { milliseconds: 3000, beganMilliseconds: 2800 };
+    const table = causesOf(
+      request('g1', 100, 'r1', { programMilliseconds: 3000 }),
+      request('g1', 8000, 'r2', { ...late, program: 'q', programMilliseconds: 1000 }),
+    );
+    const causes = [{ cause: 'late: wait for the first event', programs: 1, share: 0.175 }];
+    expect(table).toEqual({ programs: 2, causes, windows: [{ from: 4, programs: 1, causes }] });
   });
 });
