A stream that may be resumed is sent again if its engine ends before the first event

Cause: an engine that ends, or loses an answer, cost a try of the caller (502), although the platform counts streams that may be resumed among what may run more than once. Change: the route says so (isResumable); such a stream goes to another engine while nothing of it was passed on, within the route's attempts. What has begun is broken off as before. Ruled out: going on with Last-Event-Id after the first event, within one answer: not built yet. Tests: src/gateway/tests/forwarder (two; the first fails on the code before with one try in place of two).

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -118,7 +118,7 @@
         case 'unknown':
           reached += 1;
           mayHaveRun = true;
-          if (outcome.began || route.kind !== 'repeatable') {
+          if (outcome.began || !mayRunAgain(route)) {
             return refuse(outcomeUnknown(outcome.reason), true, outcome.began);
           }
           break;
@@ -237,6 +237,14 @@
   }
 }
 
+/**
+ * Whether a request whose outcome is not known may be sent again. For a stream that may be resumed
+ * this saves the caller a whole try of its own where an engine ends or loses an answer.
+ */
+function mayRunAgain({ kind, isResumable }: Route): boolean {
+  return kind === 'repeatable' || (kind === 'stream' && isResumable);
+}
+
 /** The time until the least loaded target has most likely worked off its queue. */
 function retryAfter(states: readonly TargetState[]): number {
   const waiting = states.map(({ load, target }) => Math.max(0, load - target.slots));
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -1,7 +1,13 @@
+import type { Dispatcher } from 'undici';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { type Route, RouteTable } from '../../routes';
-import { SlotPlacer, type TargetConnections, TargetDirectory } from '../../targets';
+import {
+  SlotPlacer,
+  type TargetConnection,
+  type TargetConnections,
+  TargetDirectory,
+} from '../../targets';
 import { type ForwardRequest, Forwarder } from '../forwarder';
 import type { Exchange } from '../exchange';
 import type { Wire } from '../wire';
@@ -16,6 +22,7 @@
   priority: 0,
   services: [{ service: 's', weight: 1 }],
   attempts: 2,
+  isResumable: false,
   retentionSeconds: undefined,
 };
 
@@ -80,3 +87,55 @@
     expect(take).not.toHaveBeenCalled();
   });
 });
+
+/** Sends a stream to two engines that both end their connections before any event; counts tries. */
+async function countTries(isResumable: boolean): Promise<number> {
+  const clock = new ManualClock();
+  const random = new SeededRandom(1);
+  const parts = { clock, random, logger: createSilentLogger(), metrics: new Metrics() };
+  const targets = new TargetDirectory({ ...parts, source: { list: () => Promise.resolve([]) } });
+  const listed = { service: 's', availabilityZone: 'a', slots: 1, draining: false };
+  targets.take(['t1', 't2'].map((id) => ({ ...listed, id, address: `${id}:80` })));
+  let tries = 0;
+  const take = (): TargetConnection => ({
+    dispatch: (_options, handler) => {
+      tries += 1;
+      const controller = { abort: () => undefined } as unknown as Dispatcher.DispatchController;
+      handler.onRequestStart?.(controller, {});
+      handler.onResponseError?.(controller, new Error('reset'));
+    },
+    hasFailed: () => true,
+    release: () => undefined,
+    discard: () => undefined,
+  });
+  const forwarder = new Forwarder({
+    ...parts,
+    targets,
+    wire: { buildTargetHeaders: () => [] } as unknown as Wire,
+    connections: { take } as unknown as TargetConnections,
+    enginePlacer: new SlotPlacer('a'),
+    slotPlacer: new SlotPlacer('a'),
+  });
+  const exchange = {
+    hasLeft: () => false,
+    remainingMilliseconds: 500,
+    head: { id: 'r' },
+    request: { rawHeaders: [], method: 'POST', url: '/' },
+    onGone: () => () => undefined,
+    decide: () => undefined,
+  } as unknown as Exchange;
+  const route: Route = { ...ROUTE, kind: 'stream', isResumable };
+  const outcome = await forwarder.forward({ ...REQUEST, exchange, route });
+  expect(outcome).toMatchObject({ kind: 'refused', isNotRun: false });
+  return tries;
+}
+
+describe('a stream whose engine ended the connection before the first event', () => {
+  it('is sent to another engine where it may be resumed', async () => {
+    expect(await countTries(true)).toBe(2);
+  });
+
+  it('is not sent again elsewhere where it may not', async () => {
+    expect(await countTries(false)).toBe(1);
+  });
+});
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -33,6 +33,7 @@
       priority: 0,
       services: [{ service: 's', weight: 1 }],
       attempts: 1,
+      isResumable: false,
       retentionSeconds: undefined,
     },
   ],
--- a/src/routes/configuration.ts
+++ b/src/routes/configuration.ts
@@ -29,6 +29,8 @@
   readonly services: readonly RouteService[];
   /** Targets to which one request may be sent. */
   readonly attempts: number;
+  /** Whether a stream may run again where its outcome is not known; repeatable calls always may. */
+  readonly isResumable: boolean;
   /** Seconds for which whole turns are kept, where callers send only what is new. */
   readonly retentionSeconds: number | undefined;
 }
--- a/src/routes/tests/routes.test.ts
+++ b/src/routes/tests/routes.test.ts
@@ -17,6 +17,7 @@
     priority: 0,
     services: [{ service: 's', weight: 1 }],
     attempts: 2,
+    isResumable: false,
     retentionSeconds: undefined,
     ...facts,
   };
