--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander';
 import { countCauses, readLog } from '../src/explain';
 import { type ControlBenchOptions, benchControl } from './control';
+import { benchDecide } from './decide';
 import { benchFootprint } from './footprint';
 import { benchLink } from './link';
 import { benchLog } from './log';
@@ -60,6 +61,13 @@
   .action(async (options: ControlBenchOptions) => {
     await benchControl(options);
   });
+program
+  .command('decide')
+  .description('time of one choice of a target, and memory of a target')
+  .option('--sizes <numbers>', 'numbers of targets', parseNumbers, [10, 100, 1800])
+  .action((options: { readonly sizes: readonly number[] }) => {
+    benchDecide(options.sizes);
+  });
 program
   .command('log')
   .description('processor time of one line of a gateway; its lines go to standard output')
