Decisions apart: placement, admission, order, retry, refusal, health

One read-only object of switches from the settings ([decisions]) turns each mechanism off, and names three baselines. Of services with more than 48 targets a choice weighs those that hold the prompt, and a sample of 20. The log line of a try tells the ages of the list and of the loads. Ruled out: an index of all parts by target, which would double the 11 KB an engine takes.

--- a/bench/decide.ts
+++ b/bench/decide.ts
@@ -1,5 +1,6 @@
-import { SeededRandom, SystemClock } from '../src/core';
-import { EnginePlacer, type PlacementRequest, SlotPlacer, TargetState } from '../src/targets';
+import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
+import { ALL_DECISIONS, type Placer, createPlacers } from '../src/decisions';
+import { type PlacementRequest, TargetChooser, TargetDirectory } from '../src/targets';
 
 /** Decisions of each kind that are timed. */
 const DECISIONS = 2000;
@@ -22,20 +23,45 @@
 export function benchDecide(sizes: readonly number[]): void {
   for (const targets of sizes) {
     const before = process.memoryUsage().heapUsed;
-    const states = Array.from({ length: targets }, (_, index) => createTarget(index));
+    const { chooser, fill } = createService(targets);
+    fill();
     const bytes = Math.max(0, process.memoryUsage().heapUsed - before) / targets;
     const line = {
       targets,
-      engine: time((random) => new EnginePlacer('a').place(states, requestAt(random), random)),
-      slot: time((random) => new SlotPlacer('a').place(states, requestAt(random), random)),
+      engine: time(chooser, PLACERS.engine),
+      slot: time(chooser, PLACERS.slot),
       kilobytesEach: Math.round(bytes / 1024),
     };
     process.stdout.write(`${JSON.stringify(line)}\n`);
   }
 }
 
-function createTarget(index: number): TargetState {
-  const listed = {
+const PLACERS = createPlacers(ALL_DECISIONS);
+
+/** A service of many engines, and what fills them as if they had worked for a while. */
+function createService(count: number) {
+  const parts = { clock: new SystemClock(), random: new SeededRandom(2) };
+  const targets = new TargetDirectory({
+    ...parts,
+    logger: createSilentLogger(),
+    source: { list: () => Promise.resolve([]) },
+  });
+  const chooser = new TargetChooser({ ...parts, targets, availabilityZone: 'a' });
+  const fill = () => {
+    targets.take(Array.from({ length: count }, (_, index) => listed(index)));
+    for (const state of targets.all()) {
+      state.inFlight = Number(state.target.id.slice(1)) % 5;
+      for (let part = 0; part < PARTS_HELD; part += 1) {
+        const id = `p${state.target.id}-${part}`;
+        chooser.noteParts(state, [{ id, tokens: 500 }], 70, Infinity);
+      }
+    }
+  };
+  return { chooser, fill };
+}
+
+function listed(index: number) {
+  return {
     id: `t${index}`,
     service: 's',
     address: `10.0.0.1:${index}`,
@@ -43,30 +69,32 @@
     slots: 16,
     draining: false,
   };
-  const state = new TargetState(listed, new SystemClock());
-  for (let part = 0; part < PARTS_HELD; part += 1) {
-    state.noteParts([{ id: `p${index}-${part}`, tokens: 500 }], 70, Infinity);
-  }
-  state.inFlight = index % 5;
-  return state;
 }
 
 /** A turn that goes on with a conversation which one of the engines holds. */
 function requestAt(random: SeededRandom): PlacementRequest {
   const parts = [
     { id: 'shared', tokens: 512 },
-    { id: `p${Math.floor(random.fraction() * 10)}-7`, tokens: 900 },
+    { id: `pt${Math.floor(random.fraction() * 10)}-7`, tokens: 900 },
   ];
   return { parts, promptTokens: 1412, lastTarget: undefined, heldTokens: 0 };
 }
 
-function time(decide: (random: SeededRandom) => unknown): DecisionTimes {
+function time(chooser: TargetChooser, placer: Placer): DecisionTimes {
   const random = new SeededRandom(1);
-  for (let count = 0; count < WARM_UP; count += 1) decide(random);
+  const decide = () =>
+    chooser.choose({
+      service: 's',
+      placer,
+      placement: requestAt(random),
+      tried: new Set(),
+      connectionLimit: 100,
+    });
+  for (let count = 0; count < WARM_UP; count += 1) decide();
   const times: number[] = [];
   for (let count = 0; count < DECISIONS; count += 1) {
     const startedAt = performance.now();
-    decide(random);
+    decide();
     times.push((performance.now() - startedAt) * 1000);
   }
   times.sort((left, right) => left - right);
--- /dev/null
+++ b/src/decisions/index.ts
@@ -0,0 +1,43 @@
+export { type Admission, type Learned, admitTurn, preparationTime } from './admission';
+export { type Placers, createPlacers } from './baselines';
+export { enginePriority } from './order';
+export {
+  EnginePlacer,
+  type PlacementCandidate,
+  type PlacementDecision,
+  type PlacementSnapshot,
+  type Placer,
+  SlotPlacer,
+} from './placement';
+export {
+  type Refusal,
+  type RefusalCode,
+  refuseAsTooLate,
+  refuseAsUnknown,
+  refuseWithoutTarget,
+} from './refusal';
+export {
+  MISDIRECTED,
+  NO_TRIES,
+  type NextStep,
+  type Tries,
+  type TryOutcome,
+  decideNext,
+  mayBeSentTwice,
+} from './retry';
+export { SendBudget } from './send-budget';
+export {
+  ALL_DECISIONS,
+  type DecisionSwitches,
+  PLACEMENT_POLICIES,
+  decisionSwitchesSchema,
+} from './switches';
+export {
+  type HealthEvent,
+  NEW_TARGET_HEALTH,
+  type TargetHealth,
+  failureShareAt,
+  isPausedAt,
+  nextHealth,
+} from './target-health';
+export { UsualTimes } from './usual-times';
--- /dev/null
+++ b/src/decisions/refusal.ts
@@ -0,0 +1,79 @@
+/** Why the gateway answers a request itself. */
+export type RefusalCode =
+  | 'stopping'
+  | 'no_configuration'
+  | 'no_route'
+  | 'bad_request'
+  | 'body_too_large'
+  | 'budget_spent'
+  | 'no_such_turn'
+  | 'turns_unavailable'
+  | 'no_target'
+  | 'not_run'
+  | 'outcome_unknown'
+  | 'time_over';
+
+/** An answer of the gateway's own. */
+export interface Refusal {
+  readonly status: number;
+  readonly code: RefusalCode;
+  readonly message: string;
+  /** Seconds after which the caller may try again; only where the request was not run. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** What a service's targets have under way when none of them took a request. */
+export interface TargetLoad {
+  readonly load: number;
+  readonly slots: number;
+}
+
+/** Shortest and longest pause that a refusal asks for; seconds. */
+const RETRY_AFTER_SECONDS = { shortest: 0.1, longest: 1 };
+
+/** Time that one request in front of another costs it, roughly; seconds. */
+const TURN_SECONDS = 0.1;
+
+/**
+ * The refusal of a request that no target took. Answers a service that is full: the caller is told
+ * the time in which its least loaded target has most likely worked off what waits there.
+ */
+export function refuseWithoutTarget(service: string, targets: readonly TargetLoad[]): Refusal {
+  return {
+    status: 503,
+    code: targets.length === 0 ? 'no_target' : 'not_run',
+    message: `no target of ${service} took the request; it was not run`,
+    retryAfterSeconds: pauseFor(targets),
+  };
+}
+
+/** The refusal of a request that may have run, and may not run again. */
+export function refuseAsUnknown(reason: string): Refusal {
+  return {
+    status: 502,
+    code: 'outcome_unknown',
+    message: `the request may have run; its answer was lost: ${reason}`,
+  };
+}
+
+/** The refusal of a request whose time is over. */
+export function refuseAsTooLate(mayHaveRun: boolean): Refusal {
+  if (mayHaveRun) {
+    const message = 'no answer came in time; the request may have run';
+    return { status: 504, code: 'time_over', message };
+  }
+  return {
+    status: 503,
+    code: 'time_over',
+    message: 'the time was over before a target took the request; it was not run',
+    retryAfterSeconds: RETRY_AFTER_SECONDS.shortest,
+  };
+}
+
+/** The time until the least loaded target has most likely worked off its queue; seconds. */
+function pauseFor(targets: readonly TargetLoad[]): number {
+  const waiting = targets.map(({ load, slots }) => Math.max(0, load - slots));
+  const seconds = Math.min(...waiting, Infinity) * TURN_SECONDS;
+  const { shortest, longest } = RETRY_AFTER_SECONDS;
+  return Number.isFinite(seconds) ? Math.min(Math.max(seconds, shortest), longest) : longest;
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,11 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { Clock } from '../core';
+import { MISDIRECTED, type TryOutcome } from '../decisions';
 import type { TargetConnection } from '../targets';
 import { withoutConnectionHeaders } from './headers';
 import type { AnswerHead, Wire } from './wire';
 
-/** How one try at one target ended. */
+/** How one try at one target ended, with the answer where it was collected whole. */
 export type AttemptOutcome =
   | {
       readonly kind: 'answered';
@@ -14,16 +15,7 @@
       readonly headers: readonly string[];
       readonly body: Buffer;
     }
-  /** The whole answer was passed to the receiver. */
-  | { readonly kind: 'streamed' }
-  /** Nothing was sent. */
-  | { readonly kind: 'not-sent'; readonly reason: string }
-  /** The target says that it did not run the request. */
-  | { readonly kind: 'not-run'; readonly status: number }
-  /** The request may have run. */
-  | { readonly kind: 'unknown'; readonly reason: string; readonly began: boolean }
-  /** The try was given up, as asked. */
-  | { readonly kind: 'given-up'; readonly sent: boolean; readonly began: boolean };
+  | Exclude<TryOutcome, { readonly kind: 'answered' }>;
 
 /** Takes a successful answer piece by piece. */
 export interface AnswerReceiver {
@@ -52,9 +44,6 @@
 
 const SUCCESS = { from: 200, to: 299 };
 
-/** Status of a server that is not the one that was meant. */
-export const MISDIRECTED = 421;
-
 /** One request to one target over one connection. */
 export class Attempt implements Dispatcher.DispatchHandler {
   readonly #options: AttemptOptions;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,32 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, Logger, Metrics } from '../core';
+import type { Refusal } from '../decisions';
 import type { Route } from '../routes';
 import type { RequestHead } from './wire';
 
-/** Why the gateway answers a request itself. */
-export type RefusalCode =
-  | 'stopping'
-  | 'no_configuration'
-  | 'no_route'
-  | 'bad_request'
-  | 'body_too_large'
-  | 'budget_spent'
-  | 'no_such_turn'
-  | 'turns_unavailable'
-  | 'no_target'
-  | 'not_run'
-  | 'outcome_unknown'
-  | 'time_over';
-
-/** An answer of the gateway's own. */
-export interface Refusal {
-  readonly status: number;
-  readonly code: RefusalCode;
-  readonly message: string;
-  /** Seconds after which the caller may try again; only where the request was not run. */
-  readonly retryAfterSeconds?: number;
-}
-
 export interface ExchangeOptions {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -1,54 +1,40 @@
-import type { Clock, Logger, Metrics, RandomSource } from '../core';
+import type { Clock, Metrics, RandomSource } from '../core';
+import {
+  type DecisionSwitches,
+  NO_TRIES,
+  type NextStep,
+  type Placers,
+  type Refusal,
+  type Tries,
+  decideNext,
+  mayBeSentTwice,
+  refuseAsTooLate,
+  refuseAsUnknown,
+  refuseWithoutTarget,
+} from '../decisions';
 import type { Route, RouteTable } from '../routes';
 import { pickService } from '../routes';
-import {
-  type Placement,
-  type PlacementRequest,
-  type Placer,
-  type TargetConnections,
-  type TargetDirectory,
-  type TargetState,
-} from '../targets';
-import { type AnswerReceiver, Attempt, type AttemptOutcome, MISDIRECTED } from './attempt';
-import type { Exchange, Refusal } from './exchange';
+import type { Placement, PlacementRequest, TargetChooser, TargetDirectory } from '../targets';
+import type { AttemptOutcome } from './attempt';
 import { SecondSend, type SecondSendResult } from './second-send';
-import type { Wire } from './wire';
-
-/** Targets that could not be reached before a request is refused. */
-const UNREACHED_LIMIT = 4;
-
-/** Shortest and longest pause that a refusal asks for; seconds. */
-const RETRY_AFTER_SECONDS = { shortest: 0.1, longest: 1 };
-
-/** Lowest status by which a target says that it failed. */
-const SERVER_ERROR = 500;
-
-/** Time that one request in front of another costs it, roughly; seconds. */
-const TURN_SECONDS = 0.1;
+import type { SendRequest, Sender } from './sender';
 
 export interface ForwarderOptions {
-  readonly wire: Wire;
   readonly targets: TargetDirectory;
-  readonly connections: TargetConnections;
-  readonly enginePlacer: Placer;
-  readonly slotPlacer: Placer;
+  readonly chooser: Pick<TargetChooser, 'choose'>;
+  readonly placers: Placers;
+  readonly sender: Pick<Sender, 'send'>;
+  readonly switches: DecisionSwitches;
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
-/** What is to be sent, and where its answer goes. */
-export interface ForwardRequest {
-  readonly exchange: Exchange;
+/** A request on its way to the targets of a route. */
+export interface ForwardRequest extends SendRequest {
   readonly route: Route;
   readonly table: RouteTable;
-  readonly body: Buffer | null;
   readonly placement: PlacementRequest;
-  readonly priority?: number | undefined;
-  readonly receiver?: AnswerReceiver | undefined;
-  /** Told of the try that is under way, so that a paused answer can go on. */
-  readonly onAttempt?: (attempt: Attempt, placement: Placement) => void;
 }
 
 /** How a request ended at the targets. */
@@ -64,6 +50,13 @@
       readonly isNotRun: boolean;
     };
 
+/** One request's service and the targets that were tried. */
+interface Course {
+  readonly request: ForwardRequest;
+  readonly service: string;
+  readonly tried: Set<string>;
+}
+
 /** Sends requests to targets, again where it is certain that nothing is done twice. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
@@ -75,206 +68,87 @@
   }
 
   async forward(request: ForwardRequest): Promise<ForwardOutcome> {
-    const { exchange, route, table } = request;
+    const { exchange, route } = request;
     const service = pickService(route.services, this.#options.random.fraction())?.service ?? '';
-    const isEngine = table.service(service)?.engine !== undefined;
-    const placer = isEngine ? this.#options.enginePlacer : this.#options.slotPlacer;
-    const tried = new Set<string>();
-    let reached = 0;
-    let unreached = 0;
-    let mayHaveRun = false;
+    const course: Course = { request, service, tried: new Set() };
+    let tries = NO_TRIES;
     for (;;) {
       if (exchange.hasLeft()) return { kind: 'gone' };
-      if (exchange.remainingMilliseconds <= 0) return refuse(timeOver(mayHaveRun), mayHaveRun);
-      const placement = this.#place(service, placer, tried, request);
-      if (placement === undefined) return refuse(this.#noTarget(service, mayHaveRun), mayHaveRun);
-      tried.add(placement.state.target.id);
-      const placeAgain = () => {
-        const other = this.#place(service, placer, tried, request);
-        if (other !== undefined) tried.add(other.state.target.id);
-        return other;
-      };
-      const maySendTwice = route.kind === 'repeatable' && reached + 1 < route.attempts;
-      const { outcome, sends } = maySendTwice
-        ? await this.#tryTwice(placement, request, placeAgain)
-        : { outcome: await this.#try(placement, request), sends: 1 };
-      reached += sends - 1;
-      switch (outcome.kind) {
-        case 'answered':
-        case 'streamed':
-          return outcome;
-        case 'given-up':
-          if (exchange.hasLeft()) return { kind: 'gone' };
-          mayHaveRun ||= outcome.sent;
-          return refuse(timeOver(mayHaveRun), mayHaveRun, outcome.began);
-        case 'not-sent':
-          unreached += 1;
-          break;
-        case 'not-run':
-          // Another server has the address; it was no try at the one that was meant.
-          if (outcome.status === MISDIRECTED) unreached += 1;
-          else reached += 1;
-          break;
-        case 'unknown':
-          reached += 1;
-          mayHaveRun = true;
-          if (outcome.began || !mayRunAgain(route)) {
-            return refuse(outcomeUnknown(outcome.reason), true, outcome.began);
-          }
-          break;
+      if (exchange.remainingMilliseconds <= 0) {
+        return refuse(refuseAsTooLate(tries.mayHaveRun), tries);
       }
-      if (reached >= route.attempts || unreached >= UNREACHED_LIMIT) {
-        return refuse(this.#noTarget(service, mayHaveRun), mayHaveRun);
+      const placement = this.#place(course);
+      if (placement === undefined) return this.#refuseExhausted(course, tries);
+      const { outcome, sends } = await this.#try(placement, course, tries);
+      tries = { ...tries, reached: tries.reached + sends - 1 };
+      const next = this.#decideNext(request, tries, outcome);
+      switch (next.kind) {
+        case 'deliver':
+          return outcome as Extract<AttemptOutcome, { kind: 'answered' | 'streamed' }>;
+        case 'caller-left':
+          return { kind: 'gone' };
+        case 'refuse':
+          return { ...next, kind: 'refused' };
+        case 'exhausted':
+          return this.#refuseExhausted(course, next.tries);
+        case 'try-another':
+          tries = next.tries;
       }
     }
   }
 
-  /** Tries a call that may be repeated, at a second target too if it is late. */
-  #tryTwice(
-    placement: Placement,
-    request: ForwardRequest,
-    placeAgain: () => Placement | undefined,
-  ): Promise<SecondSendResult> {
+  #decideNext(
+    { route, exchange }: ForwardRequest,
+    tries: Tries,
+    outcome: AttemptOutcome,
+  ): NextStep {
+    const { retries } = this.#options.switches;
+    return decideNext({ route, tries, outcome, hasCallerLeft: exchange.hasLeft(), retries });
+  }
+
+  /** Tries a target; a late call that may be repeated goes to a second one too. */
+  async #try(placement: Placement, course: Course, tries: Tries): Promise<SecondSendResult> {
+    const { switches, sender, metrics } = this.#options;
+    const { request } = course;
+    const first = sender.send(placement, request);
+    if (!switches['second-sends'] || !mayBeSentTwice(request.route, tries)) {
+      return { outcome: await first, sends: 1 };
+    }
     return this.#secondSend.run({
       route: request.route.name,
-      first: this.#try(placement, request),
+      first,
       sendAgain: () => {
-        const other = placeAgain();
+        const other = this.#place(course);
         if (other === undefined) return undefined;
-        this.#options.metrics.count('second_sends_total');
-        return this.#try(other, request);
+        metrics.count('second_sends_total');
+        return sender.send(other, request);
       },
     });
   }
 
-  async #try(placement: Placement, request: ForwardRequest): Promise<AttemptOutcome> {
-    const outcome = await this.#attempt(placement, request);
-    this.#note(placement, outcome, request.exchange);
-    return outcome;
-  }
-
-  #place(
-    service: string,
-    placer: Placer,
-    tried: ReadonlySet<string>,
-    { placement, table }: ForwardRequest,
-  ): Placement | undefined {
-    const { targets, random } = this.#options;
-    const limit = table.service(service)?.connectionLimit ?? Infinity;
-    const candidates = targets
-      .ofService(service)
-      .filter(({ target, load }) => !tried.has(target.id) && load < limit);
-    return placer.place(candidates, placement, random);
-  }
-
-  async #attempt(placement: Placement, request: ForwardRequest): Promise<AttemptOutcome> {
-    const { wire, clock, connections } = this.#options;
-    const { exchange, body, receiver, priority } = request;
-    const { state } = placement;
-    const { rawHeaders, method = 'GET', url = '/' } = exchange.request;
-    const attempt = new Attempt({
-      connection: connections.take(state),
-      wire,
-      clock,
-      requestId: exchange.head.id,
-      method,
-      path: url,
-      headers: wire.buildTargetHeaders(rawHeaders, {
-        remainingMilliseconds: Math.max(1, Math.floor(exchange.remainingMilliseconds)),
-        target: state.target.id,
-        priority,
-      }),
-      body,
-      receiver,
-    });
-    const stopListening = exchange.onGone(() => {
-      attempt.giveUp();
+  #place({ request, service, tried }: Course): Placement | undefined {
+    const { placers, chooser } = this.#options;
+    const settings = request.table.service(service);
+    const placement = chooser.choose({
+      service,
+      placer: settings?.engine === undefined ? placers.slot : placers.engine,
+      placement: request.placement,
+      tried,
+      connectionLimit: settings?.connectionLimit ?? Infinity,
     });
-    const cancelTimer = clock.after(Math.max(0, exchange.remainingMilliseconds), () => {
-      attempt.giveUp();
-    });
-    state.inFlight += 1;
-    request.onAttempt?.(attempt, placement);
-    try {
-      return await attempt.run();
-    } finally {
-      state.inFlight -= 1;
-      stopListening();
-      cancelTimer();
-    }
-  }
-
-  #note({ state, cost, candidates }: Placement, outcome: AttemptOutcome, exchange: Exchange): void {
-    const { metrics } = this.#options;
-    const { kind } = outcome;
-    metrics.count(`attempts_total{outcome="${kind}"}`);
-    exchange.decide({
-      target: state.target.id,
-      cost: Math.round(cost * 100) / 100,
-      candidates,
-      load: [state.inFlight, state.inFlightElsewhere],
-      outcome: kind,
-      ...('status' in outcome ? { status: outcome.status } : {}),
-      ...('reason' in outcome ? { reason: outcome.reason } : {}),
-    });
-    const isOver = kind === 'given-up' && !outcome.began && !exchange.hasLeft();
-    if (kind === 'not-run' && outcome.status === MISDIRECTED) state.noteGone();
-    else if (kind === 'answered' && outcome.status >= SERVER_ERROR) state.noteError();
-    else if (kind === 'answered' || kind === 'streamed') state.noteSuccess();
-    else if (kind === 'not-sent' || kind === 'unknown' || isOver) state.noteFailure();
+    if (placement !== undefined) tried.add(placement.state.target.id);
+    return placement;
   }
 
-  /** Nothing was done, or it is not known what was. */
-  #noTarget(service: string, mayHaveRun: boolean): Refusal {
-    if (mayHaveRun) return outcomeUnknown('all tries failed');
-    const states = this.#options.targets.ofService(service);
-    return {
-      status: 503,
-      code: states.length === 0 ? 'no_target' : 'not_run',
-      message: `no target of ${service} took the request; it was not run`,
-      retryAfterSeconds: retryAfter(states),
-    };
+  #refuseExhausted({ service }: Course, tries: Tries): ForwardOutcome {
+    if (tries.mayHaveRun) return refuse(refuseAsUnknown('all tries failed'), tries);
+    const loads = this.#options.targets
+      .ofService(service)
+      .all.map(({ load, target }) => ({ load, slots: target.slots }));
+    return refuse(refuseWithoutTarget(service, loads), tries);
   }
 }
 
-/**
- * Whether a request whose outcome is not known may be sent again. For a stream that may be resumed
- * this saves the caller a whole try of its own where an engine ends or loses an answer.
- */
-function mayRunAgain({ kind, isResumable }: Route): boolean {
-  return kind === 'repeatable' || (kind === 'stream' && isResumable);
-}
-
-/** The time until the least loaded target has most likely worked off its queue. */
-function retryAfter(states: readonly TargetState[]): number {
-  const waiting = states.map(({ load, target }) => Math.max(0, load - target.slots));
-  const seconds = Math.min(...waiting, Infinity) * TURN_SECONDS;
-  const { shortest, longest } = RETRY_AFTER_SECONDS;
-  return Number.isFinite(seconds) ? Math.min(Math.max(seconds, shortest), longest) : longest;
-}
-
-function refuse(refusal: Refusal, mayHaveRun: boolean, began = false): ForwardOutcome {
-  return { kind: 'refused', refusal, began, isNotRun: !mayHaveRun };
-}
-
-function outcomeUnknown(reason: string): Refusal {
-  return {
-    status: 502,
-    code: 'outcome_unknown',
-    message: `the request may have run; its answer was lost: ${reason}`,
-  };
-}
-
-function timeOver(mayHaveRun: boolean): Refusal {
-  if (mayHaveRun) {
-    const message = 'no answer came in time; the request may have run';
-    return { status: 504, code: 'time_over', message };
-  }
-  const message = 'the time was over before a target took the request; it was not run';
-  return {
-    status: 503,
-    code: 'time_over',
-    message,
-    retryAfterSeconds: RETRY_AFTER_SECONDS.shortest,
-  };
+function refuse(refusal: Refusal, { mayHaveRun }: Tries): ForwardOutcome {
+  return { kind: 'refused', refusal, began: false, isNotRun: !mayHaveRun };
 }
--- a/src/gateway/second-send.ts
+++ b/src/gateway/second-send.ts
@@ -1,7 +1,6 @@
 import type { Clock } from '../core';
+import { SendBudget, UsualTimes } from '../decisions';
 import type { AttemptOutcome } from './attempt';
-import { SendBudget } from './send-budget';
-import { UsualTimes } from './usual-times';
 
 /** Share of a route's calls that are answered before a second send; the others are late. */
 const USUAL_SHARE = 0.98;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,9 +7,10 @@
   type Metrics,
   messageOf,
 } from '../core';
+import type { Refusal } from '../decisions';
 import type { CallerLimits, RouteTable } from '../routes';
 import { handleCall } from './call-handler';
-import { Exchange, type Refusal } from './exchange';
+import { Exchange } from './exchange';
 import type { Forwarder } from './forwarder';
 import type { TurnHandler } from './turn-handler';
 import type { Wire } from './wire';
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -2,14 +2,16 @@
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { type Route, RouteTable } from '../../routes';
+import { ALL_DECISIONS, createPlacers } from '../../decisions';
 import {
-  SlotPlacer,
+  TargetChooser,
   type TargetConnection,
   type TargetConnections,
   TargetDirectory,
 } from '../../targets';
-import { type ForwardRequest, Forwarder } from '../forwarder';
 import type { Exchange } from '../exchange';
+import { type ForwardRequest, Forwarder } from '../forwarder';
+import { Sender } from '../sender';
 import type { Wire } from '../wire';
 
 const ROUTE: Route = {
@@ -46,11 +48,33 @@
   placement: { parts: [], promptTokens: 0, lastTarget: undefined, heldTokens: 0 },
 };
 
+interface ForwarderParts {
+  readonly targets: TargetDirectory;
+  readonly wire: Wire;
+  readonly take: () => TargetConnection;
+}
+
+function createForwarder({ targets, wire, take }: ForwarderParts): Forwarder {
+  const shared = {
+    clock: new ManualClock(),
+    random: new SeededRandom(1),
+    metrics: new Metrics(),
+    switches: ALL_DECISIONS,
+    targets,
+  };
+  return new Forwarder({
+    ...shared,
+    chooser: new TargetChooser({ ...shared, availabilityZone: 'a' }),
+    placers: createPlacers(ALL_DECISIONS),
+    sender: new Sender({ ...shared, wire, connections: { take } as unknown as TargetConnections }),
+  });
+}
+
 describe('a request for a target whose connections are all in use', () => {
   it('is refused as not run, without a connection more', async () => {
     const clock = new ManualClock();
     const random = new SeededRandom(1);
-    const parts = { clock, random, logger: createSilentLogger(), metrics: new Metrics() };
+    const parts = { clock, random, logger: createSilentLogger() };
     const targets = new TargetDirectory({
       ...parts,
       source: { list: () => Promise.resolve([]) },
@@ -70,14 +94,7 @@
     state.inFlight = 1;
     state.inFlightElsewhere = 1;
     const take = jest.fn();
-    const forwarder = new Forwarder({
-      ...parts,
-      targets,
-      wire: {} as Wire,
-      connections: { take } as unknown as TargetConnections,
-      enginePlacer: new SlotPlacer('a'),
-      slotPlacer: new SlotPlacer('a'),
-    });
+    const forwarder = createForwarder({ targets, wire: {} as Wire, take });
     const outcome = await forwarder.forward(REQUEST);
     expect(outcome).toMatchObject({
       kind: 'refused',
@@ -92,7 +109,7 @@
 async function countTries(isResumable: boolean): Promise<number> {
   const clock = new ManualClock();
   const random = new SeededRandom(1);
-  const parts = { clock, random, logger: createSilentLogger(), metrics: new Metrics() };
+  const parts = { clock, random, logger: createSilentLogger() };
   const targets = new TargetDirectory({ ...parts, source: { list: () => Promise.resolve([]) } });
   const listed = { service: 's', availabilityZone: 'a', slots: 1, draining: false };
   targets.take(['t1', 't2'].map((id) => ({ ...listed, id, address: `${id}:80` })));
@@ -108,14 +125,8 @@
     release: () => undefined,
     discard: () => undefined,
   });
-  const forwarder = new Forwarder({
-    ...parts,
-    targets,
-    wire: { buildTargetHeaders: () => [] } as unknown as Wire,
-    connections: { take } as unknown as TargetConnections,
-    enginePlacer: new SlotPlacer('a'),
-    slotPlacer: new SlotPlacer('a'),
-  });
+  const wire = { buildTargetHeaders: () => [] } as unknown as Wire;
+  const forwarder = createForwarder({ targets, wire, take });
   const exchange = {
     hasLeft: () => false,
     remainingMilliseconds: 500,
--- a/src/gateway/tests/second-send.test.ts
+++ b/src/gateway/tests/second-send.test.ts
@@ -1,8 +1,7 @@
 import { ManualClock } from '../../core/tests/manual-clock';
+import { SendBudget, UsualTimes } from '../../decisions';
 import type { AttemptOutcome } from '../attempt';
 import { SecondSend } from '../second-send';
-import { SendBudget } from '../send-budget';
-import { UsualTimes } from '../usual-times';
 
 const ROUTE = 'r';
 const ANSWERED: AttemptOutcome = {
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -1,8 +1,9 @@
 import { Metrics } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
+import { ALL_DECISIONS, type Refusal } from '../../decisions';
 import type { Route, RouteTable } from '../../routes';
 import { type TurnClient, TurnsUnavailable } from '../../turns';
-import type { Exchange, Refusal } from '../exchange';
+import type { Exchange } from '../exchange';
 import type { Forwarder } from '../forwarder';
 import { TurnHandler } from '../turn-handler';
 import { TurnPreparer } from '../turn-preparer';
@@ -33,6 +34,8 @@
     forwarder: {} as unknown as Forwarder,
     preparer: new TurnPreparer({ turns, watch: { reachesQuorum }, clock }),
     turns,
+    chooser: { noteParts: () => undefined },
+    switches: ALL_DECISIONS,
     clock,
     metrics: new Metrics(),
   });
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,6 +1,7 @@
 import { type Clock, MartenbayError, type Metrics } from '../core';
+import { type DecisionSwitches, enginePriority } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
-import type { Placement, PlacementRequest } from '../targets';
+import type { Placement, PlacementRequest, TargetChooser } from '../targets';
 import type { TurnClient } from '../turns';
 import type { Attempt } from './attempt';
 import { BODY_TOO_LARGE, placementOf } from './call-handler';
@@ -16,6 +17,8 @@
   readonly forwarder: Forwarder;
   readonly preparer: TurnPreparer;
   readonly turns: Pick<TurnClient, 'record'>;
+  readonly chooser: Pick<TargetChooser, 'noteParts'>;
+  readonly switches: DecisionSwitches;
   readonly clock: Clock;
   readonly metrics: Metrics;
 }
@@ -57,17 +60,18 @@
 
   async #send(turn: Turn, chain: Chain): Promise<void> {
     const { exchange, route, table } = turn;
+    const { forwarder, switches } = this.#options;
     const output = new EventOutput();
     let attempt: Attempt | undefined;
     let placed: Placement | undefined;
     exchange.response.on('drain', () => attempt?.resume());
-    const outcome = await this.#options.forwarder.forward({
+    const outcome = await forwarder.forward({
       exchange,
       route,
       table,
       body: buildBody(chain, turn.input),
       placement: placementWith(exchange, chain),
-      priority: enginePriority(route),
+      priority: switches['engine-priorities'] ? enginePriority(route) : undefined,
       onAttempt: (started, placement) => {
         attempt = started;
         placed = placement;
@@ -113,10 +117,13 @@
   /** The answer is whole for the caller only once the turn lasts. */
   async #complete(turn: Turn, output: EventOutput, placed: Placement | undefined): Promise<void> {
     const { exchange, route, table, id, program, input } = turn;
-    const { clock, turns, metrics, preparer } = this.#options;
+    const { clock, turns, metrics, preparer, chooser } = this.#options;
     const engine = engineOf(table, placed);
     const tokens = output.count * (engine?.tokensPerEvent ?? 1);
-    placed?.state.noteParts(exchange.head.parts, tokens, engine?.cacheTokens ?? Infinity);
+    if (placed !== undefined) {
+      const memoryTokens = engine?.cacheTokens ?? Infinity;
+      chooser.noteParts(placed.state, exchange.head.parts, tokens, memoryTokens);
+    }
     if (route.retentionSeconds === undefined) {
       preparer.settle(turn, tokens);
     } else {
@@ -170,14 +177,6 @@
   return { ...placement, lastTarget: last.target, heldTokens };
 }
 
-/** Engines know 0 to 9 and take 5 where nothing is said. */
-const ENGINE_PRIORITY = { first: 2, step: 3, last: 9 };
-
-function enginePriority({ priority }: Route): number {
-  const { first, step, last } = ENGINE_PRIORITY;
-  return Math.min(first + priority * step, last);
-}
-
 function engineOf(table: RouteTable, placed: Placement | undefined): EngineSettings | undefined {
   return placed === undefined ? undefined : table.service(placed.state.target.service)?.engine;
 }
--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../core';
+import { type Admission, type Learned, admitTurn, preparationTime } from '../decisions';
 import type { Route, RouteTable } from '../routes';
 import {
   type ReserveOutcome,
@@ -7,25 +8,7 @@
   type TurnRecord,
   TurnsUnavailable,
 } from '../turns';
-import type { Exchange, Refusal } from './exchange';
-
-/** Longest time spent on budget and chain before a turn is refused; milliseconds. */
-const PREPARE_MILLISECONDS = 1500;
-
-/**
- * The same while no quorum of the stores is reached. Stores that are back answer within 5 ms, and a
- * refusal should come within a quarter of the shortest aim, 200 ms; another gateway may do better.
- */
-const PREPARE_OUT_OF_REACH_MILLISECONDS = 45;
-
-/** Pause that a refusal asks for where too few stores answered this time; seconds. */
-const STORES_RETRY_SECONDS = 0.3;
-
-/**
- * The same while no quorum is reached: processes that all start again take about a second, and a
- * caller asks only a few times.
- */
-const OUT_OF_REACH_RETRY_SECONDS = 1;
+import type { Exchange } from './exchange';
 
 /** One turn on its way. */
 export interface Turn {
@@ -40,11 +23,6 @@
 /** Turns that are continued, oldest first. */
 export type Chain = readonly TurnRecord[];
 
-/** What stands before a turn is sent: its chain, or why it is refused. */
-export type Preparation =
-  | { readonly kind: 'ready'; readonly chain: Chain }
-  | { readonly kind: 'refused'; readonly refusal: Refusal };
-
 export interface TurnPreparerOptions {
   readonly turns: Pick<TurnClient, 'reserve' | 'chain' | 'settle'>;
   readonly watch: Pick<StoreWatch, 'reachesQuorum'>;
@@ -62,13 +40,11 @@
     this.#options = options;
   }
 
-  async prepare(turn: Turn): Promise<Preparation> {
-    const { turns, clock } = this.#options;
+  async prepare(turn: Turn): Promise<Admission<Chain>> {
+    const { turns, watch, clock } = this.#options;
     const { head } = turn.exchange;
     const startedAt = clock.monotonic();
-    const patience = this.#options.watch.reachesQuorum
-      ? PREPARE_MILLISECONDS
-      : PREPARE_OUT_OF_REACH_MILLISECONDS;
+    const patience = preparationTime(watch.reachesQuorum);
     const deadline = Math.min(startedAt + patience, turn.exchange.deadline);
     const [reserved, chain] = await Promise.all([
       this.#ask(() => this.#reserve(turn, deadline)),
@@ -88,21 +64,11 @@
       chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
-    if (chain instanceof TurnsUnavailable) return refused(this.#storesUnavailable(chain));
-    if (chain.kind === 'absent') return refused(NO_SUCH_TURN);
-    if (reserved instanceof TurnsUnavailable) return refused(this.#storesUnavailable(reserved));
-    if (!reserved.fits) return refused(BUDGET_SPENT);
-    return { kind: 'ready', chain: chain.records };
-  }
-
-  #storesUnavailable(error: TurnsUnavailable): Refusal {
-    const { reachesQuorum } = this.#options.watch;
-    return {
-      status: 503,
-      code: 'turns_unavailable',
-      message: `${error.message}; the turn was not run`,
-      retryAfterSeconds: reachesQuorum ? STORES_RETRY_SECONDS : OUT_OF_REACH_RETRY_SECONDS,
-    };
+    return admitTurn({
+      chain: learned(chain, (told) => (told.kind === 'found' ? told.records : undefined)),
+      fitsBudget: learned(reserved, ({ fits }) => fits),
+      reachesQuorum: watch.reachesQuorum,
+    });
   }
 
   #reserve({ exchange, program, id }: Turn, deadline: number): Promise<ReserveOutcome> {
@@ -128,18 +94,11 @@
   }
 }
 
-const NO_SUCH_TURN = {
-  status: 404,
-  code: 'no_such_turn',
-  message: 'the turn that is to be continued does not exist or is kept no longer',
-} as const;
-
-const BUDGET_SPENT = {
-  status: 402,
-  code: 'budget_spent',
-  message: 'the turn does not fit in what is left of the budget; it was not run',
-} as const;
-
-function refused(refusal: Refusal): Preparation {
-  return { kind: 'refused', refusal };
+/** What the stores have told, or that they could not be asked. */
+function learned<Told, Value>(
+  told: Told | TurnsUnavailable,
+  read: (told: Told) => Value,
+): Learned<Value> {
+  if (told instanceof TurnsUnavailable) return { kind: 'unavailable', reason: told.message };
+  return { kind: 'known', value: read(told) };
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -9,13 +9,13 @@
   formatIssue,
   parseAddress,
 } from '../core';
-import { Forwarder, GatewayServer, TurnHandler, TurnPreparer, type Wire } from '../gateway';
+import { createPlacers } from '../decisions';
+import { Forwarder, GatewayServer, Sender, TurnHandler, TurnPreparer, type Wire } from '../gateway';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
-  EnginePlacer,
   LoadExchange,
   SharedTargetSource,
-  SlotPlacer,
+  TargetChooser,
   TargetConnections,
   TargetDirectory,
   type TargetSource,
@@ -70,6 +70,7 @@
 /** A process that takes callers' requests; on a host with a disk it keeps the cluster's state. */
 export function createGatewayNode(options: GatewayNodeOptions): GatewayNode {
   const { platform, settings } = options;
+  const { decisions: switches } = settings;
   const parts = new NodeParts({ ...options, kind: 'gateway' });
   const { clock, random, logger, metrics, view, configuration, peers, directory } = parts;
   const keepsClusterState = settings.node['data-folder'] !== undefined;
@@ -91,6 +92,7 @@
     source: platform.createTargetSource(settings, logger),
     peers,
     callsPerSecond: settings['target-list']['calls-per-second'],
+    sharesReading: switches['list-reader'],
     clock,
     logger,
     metrics,
@@ -102,15 +104,15 @@
   });
   const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
   const { 'availability-zone': availabilityZone } = settings.node;
+  const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const forwarder = new Forwarder({
-    wire: platform.wire,
     targets,
-    connections,
-    enginePlacer: new EnginePlacer(availabilityZone),
-    slotPlacer: new SlotPlacer(availabilityZone),
+    chooser,
+    placers: createPlacers(switches),
+    sender: new Sender({ wire: platform.wire, connections, switches, clock, metrics }),
+    switches,
     clock,
     random,
-    logger,
     metrics,
   });
   const cache = new ChainCache(CHAIN_CACHE_BYTES);
@@ -118,7 +120,9 @@
   const turnParts = { availabilityZone, view, cache, watch, peers, clock, logger, metrics };
   const turns = new TurnClient(turnParts);
   const preparer = new TurnPreparer({ turns, watch, clock });
-  const turnHandler = new TurnHandler({ forwarder, preparer, turns, clock, metrics });
+  const turnHandler = new TurnHandler({
+    ...{ forwarder, preparer, turns, chooser, switches, clock, metrics },
+  });
   let table: RouteTable | undefined;
   let leaving = false;
   const isReady = () => !leaving && table !== undefined && targets.isLoaded && watch.reachesQuorum;
@@ -160,7 +164,7 @@
   if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
   lifeCycle.add('store-watch', watch);
   lifeCycle.add('targets', targets);
-  lifeCycle.add('loads', loads);
+  if (switches['shared-loads']) lifeCycle.add('loads', loads);
   addEndpoint(parts, lifeCycle, settings.listen.readiness, (_request, response) => {
     response.statusCode = isReady() ? 200 : 503;
     response.end();
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import { addressSchema } from '../core';
+import { decisionSwitchesSchema } from '../decisions';
 
 const addressText = z.string().refine((text) => addressSchema.safeParse(text).success, {
   error: 'not an IP number with a port; write it like 10.0.0.7:8080',
@@ -35,6 +36,8 @@
     /** Calls a second that all processes may make together. */
     'calls-per-second': z.number().positive(),
   }),
+  /** Mechanisms that are switched off, for measurements; left out, all are in use. */
+  decisions: decisionSwitchesSchema.prefault({}),
 });
 
 export type NodeSettings = Readonly<z.output<typeof nodeSettingsSchema>>;
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -6,6 +6,7 @@
   type RandomSource,
   messageOf,
 } from '../core';
+import { ServiceTargets } from './service-targets';
 import { TargetState } from './state';
 import type { ListedTarget, TargetSource } from './target';
 
@@ -33,8 +34,12 @@
   readonly #options: TargetDirectoryOptions;
   readonly #targets = new Map<string, TargetState>();
   readonly #removalListeners: ((state: TargetState) => void)[] = [];
+  /** Targets that take new work, by service; made anew after each reading of the list. */
+  readonly #byService = new Map<string, ServiceTargets>();
   #stopped = false;
   #loaded = false;
+  #takenAt = -Infinity;
+  #loadsHeardAt = -Infinity;
   #reading = true;
   #cancel: CancelTimer = () => undefined;
 
@@ -57,10 +62,25 @@
   }
 
   /** Targets of a service that take new work, those that failed lately included. */
-  ofService(service: string): readonly TargetState[] {
-    return [...this.#targets.values()].filter(
+  ofService(service: string): ServiceTargets {
+    const known = this.#byService.get(service);
+    if (known !== undefined) return known;
+    const states = [...this.#targets.values()].filter(
       ({ target }) => target.service === service && !target.draining,
     );
+    const targets = new ServiceTargets(states);
+    this.#byService.set(service, targets);
+    return targets;
+  }
+
+  /** Ages at `now` of the list and of the other gateways' loads; milliseconds. */
+  agesAt(now: number): { readonly list: number; readonly loads: number } {
+    return { list: now - this.#takenAt, loads: now - this.#loadsHeardAt };
+  }
+
+  /** Notes that the other gateways' loads are as of now. */
+  noteLoads(): void {
+    this.#loadsHeardAt = this.#options.clock.monotonic();
   }
 
   get(id: string): TargetState | undefined {
@@ -80,6 +100,8 @@
   take(list: readonly ListedTarget[]): void {
     const { clock, logger } = this.#options;
     this.#loaded = true;
+    this.#takenAt = clock.monotonic();
+    this.#byService.clear();
     const ids = new Set(list.map(({ id }) => id));
     for (const [id, state] of this.#targets) {
       if (ids.has(id)) continue;
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -1,10 +1,9 @@
 export {
-  EnginePlacer,
+  type ChoiceRequest,
   type Placement,
   type PlacementRequest,
-  type Placer,
-  SlotPlacer,
-} from './balancer';
+  TargetChooser,
+} from './chooser';
 export { type TargetConnection, TargetConnections } from './connections';
 export { TargetDirectory } from './directory';
 export { type LoadContract, LoadExchange } from './load-exchange';
--- a/src/targets/load-exchange.ts
+++ b/src/targets/load-exchange.ts
@@ -207,6 +207,7 @@
   }
 
   #apply(): void {
+    this.#options.targets.noteLoads();
     const elsewhere = new Map(this.#elsewhere.inFlight);
     for (const state of this.#options.targets.all()) {
       state.inFlightElsewhere = elsewhere.get(state.target.id) ?? 0;
--- a/src/targets/shared-source.ts
+++ b/src/targets/shared-source.ts
@@ -50,6 +50,8 @@
   readonly peers: Pick<Caller<TargetListContract>, 'call' | 'isConnected'>;
   /** Readings that the platform takes from all processes together. */
   readonly callsPerSecond: number;
+  /** Whether one gateway reads for all; each for itself otherwise. */
+  readonly sharesReading?: boolean;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -83,7 +85,8 @@
   }
 
   async list(): Promise<readonly ListedTarget[]> {
-    const { self, directory } = this.#options;
+    const { self, directory, sharesReading = true } = this.#options;
+    if (!sharesReading) return this.#read(directory.ofKind('gateway').length);
     const reader = pickCoordinator(this.#options);
     if (reader.name !== this.#reader) this.#noteReader(reader.name);
     if (reader.name === self.name) return this.#read(1);
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -1,21 +1,17 @@
 import type { Clock } from '../core';
+import {
+  type HealthEvent,
+  NEW_TARGET_HEALTH,
+  type PlacementCandidate,
+  failureShareAt,
+  isPausedAt,
+  nextHealth,
+} from '../decisions';
 import type { ListedTarget, PromptPart } from './target';
 
-/** First time for which a target that can't be reached gets no work; milliseconds. */
-const FIRST_PAUSE_MILLISECONDS = 300;
-
-/** Longest such time; the list drops a crashed server after some seconds. Milliseconds. */
-const LONGEST_PAUSE_MILLISECONDS = 3000;
-
 /** Prompt parts remembered for each engine at most, however few tokens they have. */
 const PART_LIMIT = 4096;
 
-/** Weight of the newest outcome in the share of failures; three failures in a row make 0.66. */
-const OUTCOME_WEIGHT = 0.3;
-
-/** Time in which a share of failures that nothing confirms falls by half; milliseconds. */
-const FORGIVING_MILLISECONDS = 5000;
-
 /** What this process knows of one target. */
 export class TargetState {
   readonly #clock: Clock;
@@ -27,10 +23,7 @@
   inFlight = 0;
   /** Requests of other processes that were under way there when they last said so. */
   inFlightElsewhere = 0;
-  #failures = 0;
-  #failureShare = 0;
-  #outcomeAt = 0;
-  #pausedUntil = -Infinity;
+  #health = NEW_TARGET_HEALTH;
 
   constructor(target: ListedTarget, clock: Clock) {
     this.target = target;
@@ -42,51 +35,30 @@
   }
 
   get isPaused(): boolean {
-    return this.#clock.monotonic() < this.#pausedUntil;
+    return isPausedAt(this.#health, this.#clock.monotonic());
   }
 
   /** Share of the requests here that failed lately, 0 to 1; what is long ago counts less. */
   get failureShare(): number {
-    const age = this.#clock.monotonic() - this.#outcomeAt;
-    return this.#failureShare * 0.5 ** (age / FORGIVING_MILLISECONDS);
-  }
-
-  /** Notes an answer that the target itself marks as a failure. */
-  noteError(): void {
-    this.#noteOutcome(1);
-    this.#endPause();
-  }
-
-  noteSuccess(): void {
-    this.#noteOutcome(0);
-    this.#endPause();
-  }
-
-  #noteOutcome(failure: 0 | 1): void {
-    const share = this.failureShare;
-    this.#failureShare = share + (failure - share) * OUTCOME_WEIGHT;
-    this.#outcomeAt = this.#clock.monotonic();
-  }
-
-  /** The target answers. */
-  #endPause(): void {
-    if (this.#pausedUntil === Infinity) return;
-    this.#failures = 0;
-    this.#pausedUntil = -Infinity;
+    return failureShareAt(this.#health, this.#clock.monotonic());
   }
 
-  /** Notes that another server has the address, which this one does not get back. */
-  noteGone(): void {
-    this.#pausedUntil = Infinity;
+  /** Notes what the outcome of a request says of the target. */
+  note(event: HealthEvent): void {
+    this.#health = nextHealth(this.#health, event, this.#clock.monotonic());
   }
 
-  /** Keeps new work away for a time that grows with each failure in a row. */
-  noteFailure(): void {
-    this.#noteOutcome(1);
-    if (this.#pausedUntil === Infinity) return;
-    const pause = FIRST_PAUSE_MILLISECONDS * 2 ** this.#failures;
-    this.#failures = Math.min(this.#failures + 1, 10);
-    this.#pausedUntil = this.#clock.monotonic() + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
+  /** What is known of the target at `now`, for the placement of a prompt with these parts. */
+  candidateAt(now: number, parts: readonly PromptPart[]): PlacementCandidate {
+    return {
+      id: this.target.id,
+      availabilityZone: this.target.availabilityZone,
+      slots: this.target.slots,
+      load: this.load,
+      failureShare: failureShareAt(this.#health, now),
+      isPaused: isPausedAt(this.#health, now),
+      heldTokens: parts.length === 0 ? 0 : this.heldTokens(parts),
+    };
   }
 
   /**
