--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import { countCauses, readLog } from '../src/explain';
+import { type AblationOptions, benchAblation } from './ablation/run';
 import { type ControlBenchOptions, benchControl } from './control';
 import { benchDecide } from './decide';
 import { benchFootprint } from './footprint';
@@ -16,7 +17,27 @@
   return text.split(',').map(Number);
 }
 
+/** The words given on the command line, separated by commas. */
+function parseWords(text: string): readonly string[] {
+  return text.split(',');
+}
+
 const program = new Command('bench').description('Measurements; each prints one JSON line.');
+program
+  .command('ablation')
+  .description('days with mechanisms of the decisions switched off one by one, as a table')
+  .requiredOption('--player <path>', 'program that plays a day')
+  .requiredOption('--site <path>', 'deployment whose days are played')
+  .requiredOption('--workspace <path>', 'folder for the checkouts, one for each set')
+  .requiredOption('--days <names>', 'names of days', parseWords)
+  .requiredOption('--why <text>', 'reason for the journal')
+  .option('--seeds <numbers>', 'seeds of each day', parseWords, ['1', '2', '3'])
+  .option('--sets <names>', 'only these sets, beside the usual one', parseWords, [])
+  .option('--small', 'small twins of the days', false)
+  .option('--jobs <number>', 'days at a time', Number, 2)
+  .action(async (options: AblationOptions) => {
+    await benchAblation(options);
+  });
 program
   .command('path')
   .description('latency through martenbay beside the stand-in alone')
