Missed quorums are one line a second with a count

Cause: `quorum-missed` was logged for every try: 191 lines in 4 s at a gateway that was cut off. Change: the first line at once, then one a second at most that says how many were left out; a metric counts all. A request's own line still names its reason. Ruled out: folding `chain-not-read`, which names the turn that it touches.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -10,6 +10,7 @@
 } from './clock';
 export { digestPrefixes, digestText, digestValue, equalSecrets } from './digest';
 export { type Issue, MartenbayError, formatIssue, formatPath, messageOf } from './errors';
+export { FoldedLine, type FoldedLineOptions } from './folded-line';
 export { InFlight } from './in-flight';
 export { type Component, LifeCycle } from './life-cycle';
 export { type LogOptions, type Logger, createLogger, createSilentLogger } from './log';
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -1,5 +1,5 @@
 import type { Newest, StoreView, ViewMember } from '../cluster';
-import { type Clock, type Logger, type Metrics, delay, messageOf } from '../core';
+import { type Clock, FoldedLine, type Logger, type Metrics, delay, messageOf } from '../core';
 import type { Caller } from '../link';
 import { type ReserveOptions, type ReserveOutcome, judgeBudget } from './budget';
 import type { ChainCache } from './chain-cache';
@@ -30,6 +30,9 @@
 /** Pause before each such look: a message there and a sync; milliseconds. */
 const CONTENDED_MILLISECONDS = 10;
 
+/** Shortest time between two lines on missed quorums; a request's own line names its reason. */
+const MISSED_LINE_MILLISECONDS = 1000;
+
 export interface TurnClientOptions {
   readonly availabilityZone: string;
   readonly view: Newest<StoreView>;
@@ -52,9 +55,13 @@
   readonly #options: TurnClientOptions;
   /** Stores whose last answer came too late or not at all; no round waits for them. */
   readonly #silent = new Set<string>();
+  readonly #missedLine: FoldedLine;
 
   constructor(options: TurnClientOptions) {
     this.#options = options;
+    const { clock, logger } = options;
+    const milliseconds = MISSED_LINE_MILLISECONDS;
+    this.#missedLine = new FoldedLine({ event: 'quorum-missed', milliseconds, clock, logger });
   }
 
   /**
@@ -200,7 +207,7 @@
     readonly counts: (answer: Answer) => boolean;
     readonly ask: (view: StoreView, member: ViewMember) => Promise<Reply<Answer>>;
   }): Promise<{ readonly answers: readonly Answer[]; readonly all: boolean }> {
-    const { clock, view: newest, logger } = this.#options;
+    const { clock, view: newest, metrics } = this.#options;
     let reason = 'no stores are known';
     for (;;) {
       const view = newest.value;
@@ -226,7 +233,8 @@
           return { answers, all: answers.length === view.members.length };
         }
         reason = describe(round);
-        logger.info({ event: 'quorum-missed', epoch: view.epoch, reason });
+        metrics.count('quorums_missed_total');
+        this.#missedLine.note({ epoch: view.epoch, reason });
       }
       if (clock.monotonic() + RETRY_MILLISECONDS >= options.deadline) {
         throw new TurnsUnavailable(`too few stores answer: ${reason}`);
