Settings are read again by a holder with tests; the log level follows

Cause: the reload on SIGHUP and on a changed file had no test, and only the seeds followed it. Change: SettingsHolder apart from the run of a process; listeners; the log level is in force at once. Requests are not touched by it. Ruled out: reopening listeners for changed addresses, which would cut requests; an address stays until the next start, as docs/operators say.

--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -1,10 +1,6 @@
-import { statSync } from 'node:fs';
 import {
-  type Clock,
   type LifeCycle,
-  type Logger,
   MartenbayError,
-  PeriodicTask,
   SystemClock,
   SystemRandom,
   formatIssue,
@@ -13,9 +9,7 @@
 import { loadSettings } from '../settings/load';
 import { type NodeSettings, nodeSettingsSchema } from './settings';
 import type { NodeParts, NodePartsOptions } from './node';
-
-/** Pause between looks whether the settings file has changed; milliseconds. */
-const SETTINGS_MILLISECONDS = 1000;
+import { SettingsHolder } from './settings-holder';
 
 /** Time in which a process that can't go on still answers that it can't; milliseconds. */
 const FAILURE_MILLISECONDS = 300;
@@ -38,7 +32,7 @@
 export async function runNode(file: string, create: CreateNode): Promise<void> {
   const settings = loadOrExit(file);
   const clock = new SystemClock();
-  const holder = new SettingsHolder(file, settings, clock);
+  const holder = new SettingsHolder({ file, settings, clock });
   const node: RunnableNode = await create({
     settings,
     currentSettings: () => holder.current,
@@ -52,8 +46,11 @@
     },
   });
   const { logger } = node.parts;
-  holder.watch(logger);
-  node.lifeCycle.add('settings', holder.task);
+  holder.logTo(logger);
+  holder.onReload(({ node: { 'log-level': level } }) => {
+    logger.level = level;
+  });
+  node.lifeCycle.add('settings', holder);
   try {
     await node.lifeCycle.start();
   } catch (error) {
@@ -66,7 +63,7 @@
   process.once('SIGTERM', () => void stop(node, 'SIGTERM'));
   process.once('SIGINT', () => void stop(node, 'SIGINT'));
   process.on('SIGHUP', () => {
-    holder.reload(logger, 'SIGHUP');
+    holder.reload('SIGHUP');
   });
 }
 
@@ -94,45 +91,3 @@
     return process.exit(EXIT_CODES.invalid);
   }
 }
-
-/** The settings in force; a file that is not valid leaves the old ones in force. */
-class SettingsHolder {
-  readonly #file: string;
-  readonly #clock: Clock;
-  #current: NodeSettings;
-  #changedAt: number;
-  task = new PeriodicTask(new SystemClock(), SETTINGS_MILLISECONDS, () => undefined);
-
-  constructor(file: string, settings: NodeSettings, clock: Clock) {
-    this.#file = file;
-    this.#current = settings;
-    this.#clock = clock;
-    this.#changedAt = modifiedAt(file);
-  }
-
-  get current(): NodeSettings {
-    return this.#current;
-  }
-
-  watch(logger: Logger): void {
-    this.task = new PeriodicTask(this.#clock, SETTINGS_MILLISECONDS, () => {
-      const changedAt = modifiedAt(this.#file);
-      if (changedAt === this.#changedAt) return;
-      this.#changedAt = changedAt;
-      this.reload(logger, 'the file has changed');
-    });
-  }
-
-  reload(logger: Logger, reason: string): void {
-    try {
-      this.#current = loadSettings(nodeSettingsSchema, this.#file);
-      logger.info({ event: 'settings-reloaded', reason, seeds: this.#current.node.seeds });
-    } catch (error) {
-      logger.error({ event: 'settings-invalid', reason, error: messageOf(error) });
-    }
-  }
-}
-
-function modifiedAt(file: string): number {
-  return statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
-}
