Revert the learned pace and slowness

In a burst a turn is slowed by the prompts that others have read beside it, which the fit books as the cost of a neighbor: turns leave the engines that hold their prompts, more is read again, and neighbors seem dearer still. What is needed is the cost that a choice puts on the others (tokens read times those who wait meanwhile), not the one it meets.

--- a/bench/decide.ts
+++ b/bench/decide.ts
@@ -1,6 +1,6 @@
 import { SeededRandom, SystemClock, createSilentLogger } from '../src/core';
 import { ALL_DECISIONS, type Placer, createPlacers } from '../src/decisions';
-import { PaceBook, type PlacementRequest, TargetChooser, TargetDirectory } from '../src/targets';
+import { type PlacementRequest, TargetChooser, TargetDirectory } from '../src/targets';
 
 /** Decisions of each kind that are timed. */
 const DECISIONS = 2000;
@@ -46,12 +46,7 @@
     logger: createSilentLogger(),
     source: { list: () => Promise.resolve([]) },
   });
-  const chooser = new TargetChooser({
-    ...parts,
-    targets,
-    pace: new PaceBook(parts),
-    availabilityZone: 'a',
-  });
+  const chooser = new TargetChooser({ ...parts, targets, availabilityZone: 'a' });
   const fill = () => {
     targets.take(Array.from({ length: count }, (_, index) => listed(index)));
     for (const state of targets.all()) {
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,16 +1,6 @@
 export { type Admission, type Learned, admitTurn, preparationTime } from './admission';
 export { type Placers, createPlacers } from './baselines';
 export { enginePriority } from './order';
-export {
-  PRIOR_PACE,
-  ServicePace,
-  type Slowness,
-  type TurnObservation,
-  type TurnPace,
-  USUAL_SLOWNESS,
-  nextSlowness,
-  slownessAt,
-} from './pace';
 export {
   EnginePlacer,
   type PlacementCandidate,
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -1,5 +1,4 @@
 import type { RandomSource } from '../core';
-import type { TurnPace } from './pace';
 import type { DecisionSwitches } from './switches';
 
 /** What is known of one target when a request is placed. */
@@ -12,8 +11,6 @@
   readonly load: number;
   /** Share of the requests there that failed lately, 0 to 1. */
   readonly failureShare: number;
-  /** How many times longer turns take there than at others with its load; 1 at least. */
-  readonly slowness: number;
   /** Whether it can't be reached at present. */
   readonly isPaused: boolean;
   /** Tokens of the prompt that it holds, as this process knows from what it has sent. */
@@ -30,8 +27,6 @@
   readonly lastTarget: string | undefined;
   /** Tokens of the prompt that the last target holds. */
   readonly lastHeldTokens: number;
-  /** What turns take at the service's engines, as far as learned. */
-  readonly pace: TurnPace;
   readonly candidates: readonly PlacementCandidate[];
 }
 
@@ -50,11 +45,17 @@
   place(snapshot: PlacementSnapshot, random: RandomSource): PlacementDecision | undefined;
 }
 
+/** Prompt tokens that an engine reads in a millisecond; the slowest of the users' engines. */
+const PREFILL_TOKENS_PER_MILLISECOND = 38;
+
+/** How much longer a turn takes for each other one at its engine: 35 tokens of 0.15 ms. */
+const COMPANY_MILLISECONDS = 6;
+
 /** What a request over zones costs: the way there, and the price of its bytes. Milliseconds. */
 const ZONE_MILLISECONDS = 8;
 
-/** Pause until a caller sends a turn that has failed again: 0.1 to 0.4 s. Milliseconds. */
-const RESEND_MILLISECONDS = 250;
+/** What it costs on the average to try a turn that fails again; milliseconds. */
+const FAILURE_MILLISECONDS = 500;
 
 /**
  * Places a turn where it is done soonest: tokens to be read, company there, and the way. Answers bursts
@@ -77,12 +78,10 @@
     const unread = Math.max(0, snapshot.promptTokens - this.#held(candidate, snapshot));
     const isNear = !switches.zones || candidate.availabilityZone === snapshot.availabilityZone;
     const failures = switches['failure-shares'] ? candidate.failureShare : 0;
-    const { alone } = snapshot.pace;
-    const slowness = switches.slowness ? candidate.slowness : 1;
     return (
-      (alone + addedTime(candidate, unread, snapshot.pace)) * slowness -
-      alone +
-      failures * (alone + RESEND_MILLISECONDS) +
+      unread / PREFILL_TOKENS_PER_MILLISECOND +
+      candidate.load * COMPANY_MILLISECONDS +
+      failures * FAILURE_MILLISECONDS +
       (isNear ? 0 : ZONE_MILLISECONDS)
     );
   }
@@ -95,19 +94,6 @@
   }
 }
 
-/** Time that a turn takes beyond that of one alone whose prompt is held; milliseconds. */
-function addedTime(
-  { load, slots }: PlacementCandidate,
-  unreadTokens: number,
-  { perUnreadToken, perNeighbor, perWaiting }: TurnPace,
-): number {
-  return (
-    unreadTokens * perUnreadToken +
-    Math.min(load, slots) * perNeighbor +
-    Math.max(0, load - slots) * Math.max(perNeighbor, perWaiting)
-  );
-}
-
 /** Share of a target's slots by which one in another zone must be freer. */
 const ZONE_SHARE = 0.2;
 
--- a/src/decisions/switches.ts
+++ b/src/decisions/switches.ts
@@ -23,10 +23,6 @@
     zones: z.boolean().default(true),
     /** Weigh the share of requests that failed lately at each target. */
     'failure-shares': z.boolean().default(true),
-    /** Learn what turns take from the turns themselves; go by the prior otherwise. */
-    'learned-pace': z.boolean().default(true),
-    /** Weigh that turns take longer at some engines than at others with the same load. */
-    slowness: z.boolean().default(true),
     /** Keep new work away from targets that can't be reached, for a time that grows. */
     pauses: z.boolean().default(true),
     /** Tell the other gateways what is under way at each target. */
--- a/src/decisions/tests/placement.test.ts
+++ b/src/decisions/tests/placement.test.ts
@@ -2,7 +2,6 @@
 import {
   ALL_DECISIONS,
   type DecisionSwitches,
-  PRIOR_PACE,
   type PlacementCandidate,
   createPlacers,
   decisionSwitchesSchema,
@@ -18,7 +17,6 @@
     slots: 6,
     load: 0,
     failureShare: 0,
-    slowness: 1,
     isPaused: false,
     heldTokens: 0,
     ...facts,
@@ -31,7 +29,7 @@
   switches: Partial<DecisionSwitches> = {},
 ): string | undefined {
   const { engine } = createPlacers({ ...ALL_DECISIONS, ...switches });
-  const prompt = { promptTokens: 4000, lastTarget: 'last', lastHeldTokens: 3900, pace: PRIOR_PACE };
+  const prompt = { promptTokens: 4000, lastTarget: 'last', lastHeldTokens: 3900 };
   const snapshot = { availabilityZone: 'a', ...prompt, candidates };
   return engine.place(snapshot, RANDOM)?.candidate.id;
 }
@@ -73,20 +71,6 @@
   });
 });
 
-describe('an engine whose turns take longer than at others with its load', () => {
-  const slow = candidate('slow', { slowness: 3 });
-  const busy = candidate('busy', { load: 6 });
-
-  it('is left for a busier one, unless that is switched off', () => {
-    expect(placeTurn([slow, busy])).toBe('busy');
-    expect(placeTurn([slow, busy], { slowness: false })).toBe('slow');
-  });
-
-  it('still takes turns where all others are fuller by far', () => {
-    expect(placeTurn([slow, candidate('full', { load: 60 })])).toBe('slow');
-  });
-});
-
 describe('baselines of the placement', () => {
   const candidates = [
     candidate('last', { load: 20 }),
@@ -101,7 +85,6 @@
       promptTokens: 0,
       lastTarget: undefined,
       lastHeldTokens: 0,
-      pace: PRIOR_PACE,
       candidates,
     };
     const ids = [1, 2, 3, 4].map(() => engine.place(snapshot, RANDOM)?.candidate.id);
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -4,7 +4,6 @@
 import { type Route, RouteTable } from '../../routes';
 import { ALL_DECISIONS, createPlacers } from '../../decisions';
 import {
-  PaceBook,
   TargetChooser,
   type TargetConnection,
   type TargetConnections,
@@ -65,7 +64,7 @@
   };
   return new Forwarder({
     ...shared,
-    chooser: new TargetChooser({ ...shared, pace: new PaceBook(shared), availabilityZone: 'a' }),
+    chooser: new TargetChooser({ ...shared, availabilityZone: 'a' }),
     placers: createPlacers(ALL_DECISIONS),
     sender: new Sender({ ...shared, wire, connections: { take } as unknown as TargetConnections }),
   });
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -35,7 +35,6 @@
     preparer: new TurnPreparer({ turns, watch: { reachesQuorum }, clock }),
     turns,
     chooser: { noteParts: () => undefined },
-    pace: { note: () => undefined },
     switches: ALL_DECISIONS,
     clock,
     metrics: new Metrics(),
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,7 +1,7 @@
 import { type Clock, MartenbayError, type Metrics } from '../core';
 import { type DecisionSwitches, enginePriority } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
-import type { PaceBook, Placement, PlacementRequest, TargetChooser } from '../targets';
+import type { Placement, PlacementRequest, TargetChooser } from '../targets';
 import type { TurnClient } from '../turns';
 import type { Attempt } from './attempt';
 import { BODY_TOO_LARGE, placementOf } from './call-handler';
@@ -18,18 +18,11 @@
   readonly preparer: TurnPreparer;
   readonly turns: Pick<TurnClient, 'record'>;
   readonly chooser: Pick<TargetChooser, 'noteParts'>;
-  readonly pace: Pick<PaceBook, 'note'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
   readonly metrics: Metrics;
 }
 
-/** When a turn was sent to its engine, and when its answer began; monotonic, milliseconds. */
-interface TurnTiming {
-  readonly sentAt: number;
-  readonly beganAt: number;
-}
-
 /** Streams turns of engines, whose chains and budgets the system keeps. */
 export class TurnHandler {
   readonly #options: TurnHandlerOptions;
@@ -67,11 +60,10 @@
 
   async #send(turn: Turn, chain: Chain): Promise<void> {
     const { exchange, route, table } = turn;
-    const { forwarder, switches, clock } = this.#options;
+    const { forwarder, switches } = this.#options;
     const output = new EventOutput();
     let attempt: Attempt | undefined;
     let placed: Placement | undefined;
-    const timing = { sentAt: 0, beganAt: 0 };
     exchange.response.on('drain', () => attempt?.resume());
     const outcome = await forwarder.forward({
       exchange,
@@ -83,11 +75,9 @@
       onAttempt: (started, placement) => {
         attempt = started;
         placed = placement;
-        timing.sentAt = clock.monotonic();
       },
       receiver: {
         begin: (status, headers) => {
-          timing.beganAt = clock.monotonic();
           exchange.begin(status, headers);
         },
         take: (chunk) => {
@@ -96,25 +86,9 @@
         },
       },
     });
-    if (outcome.kind === 'streamed' && placed !== undefined) {
-      this.#notePace(placed, timing, output.count);
-    }
     await this.#finish(turn, outcome, output, placed);
   }
 
-  #notePace(placed: Placement, { sentAt, beganAt }: TurnTiming, events: number): void {
-    const { clock, pace } = this.#options;
-    const { service, id, slots } = placed.state.target;
-    pace.note(service, id, {
-      unreadTokens: placed.unreadTokens,
-      load: placed.load,
-      slots,
-      firstEventMilliseconds: beganAt - sentAt,
-      streamMilliseconds: clock.monotonic() - beganAt,
-      events,
-    });
-  }
-
   async #finish(
     turn: Turn,
     outcome: ForwardOutcome,
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -14,7 +14,6 @@
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
   LoadExchange,
-  PaceBook,
   SharedTargetSource,
   TargetChooser,
   TargetConnections,
@@ -103,10 +102,9 @@
   targets.onLeaving((state) => {
     connections.forget(state);
   });
-  const pace = new PaceBook({ clock, learns: switches['learned-pace'] });
-  const loads = new LoadExchange({ self, directory, targets, pace, peers, clock, logger });
+  const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
   const { 'availability-zone': availabilityZone } = settings.node;
-  const chooser = new TargetChooser({ targets, pace, availabilityZone, clock, random });
+  const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const forwarder = new Forwarder({
     targets,
     chooser,
@@ -123,7 +121,7 @@
   const turns = new TurnClient(turnParts);
   const preparer = new TurnPreparer({ turns, watch, clock });
   const turnHandler = new TurnHandler({
-    ...{ forwarder, preparer, turns, chooser, pace, switches, clock, metrics },
+    ...{ forwarder, preparer, turns, chooser, switches, clock, metrics },
   });
   let table: RouteTable | undefined;
   let leaving = false;
--- a/src/targets/chooser.ts
+++ b/src/targets/chooser.ts
@@ -1,7 +1,6 @@
 import type { Clock, RandomSource } from '../core';
 import type { PlacementCandidate, Placer } from '../decisions';
 import type { TargetDirectory } from './directory';
-import type { PaceBook } from './pace-book';
 import { PartHolders } from './part-holders';
 import type { TargetState } from './state';
 import type { PromptPart } from './target';
@@ -22,10 +21,6 @@
   readonly state: TargetState;
   /** Milliseconds for an engine, a share of its slots for a plain service. */
   readonly cost: number;
-  /** Requests under way there when it was chosen, of all gateways as far as known. */
-  readonly load: number;
-  /** Tokens of the prompt that it did not hold then, as far as known. */
-  readonly unreadTokens: number;
   /** Targets that were weighed. */
   readonly candidates: number;
   /** Ages of what the choice rested on; milliseconds, infinite where nothing was heard. */
@@ -44,7 +39,6 @@
 
 export interface TargetChooserOptions {
   readonly targets: TargetDirectory;
-  readonly pace: Pick<PaceBook, 'paceOf'>;
   readonly availabilityZone: string;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -61,7 +55,7 @@
 
   /** Nothing if no target is left. */
   choose(request: ChoiceRequest): Placement | undefined {
-    const { availabilityZone, clock, random, targets, pace } = this.#options;
+    const { availabilityZone, clock, random, targets } = this.#options;
     const { parts, promptTokens, lastTarget, heldTokens } = request.placement;
     const now = clock.monotonic();
     const candidates: PlacementCandidate[] = [];
@@ -72,23 +66,14 @@
         promptTokens,
         lastTarget,
         lastHeldTokens: heldTokens,
-        pace: pace.paceOf(request.service),
         candidates,
       },
       random,
     );
     const state = decision === undefined ? undefined : targets.get(decision.candidate.id);
     if (decision === undefined || state === undefined) return undefined;
-    const { candidate, cost, weighed } = decision;
-    const held = Math.max(candidate.heldTokens, candidate.id === lastTarget ? heldTokens : 0);
-    return {
-      state,
-      cost,
-      load: candidate.load,
-      unreadTokens: Math.max(0, promptTokens - held),
-      candidates: weighed,
-      ages: targets.agesAt(now),
-    };
+    const { cost, weighed } = decision;
+    return { state, cost, candidates: weighed, ages: targets.agesAt(now) };
   }
 
   /** Notes what an engine has read, and generated behind it. */
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -7,7 +7,6 @@
 export { type TargetConnection, TargetConnections } from './connections';
 export { TargetDirectory } from './directory';
 export { type LoadContract, LoadExchange } from './load-exchange';
-export { PaceBook } from './pace-book';
 export { SharedTargetSource, type TargetListContract } from './shared-source';
 export { TargetState } from './state';
 export type { ListedTarget, PromptPart, TargetSource } from './target';
--- a/src/targets/load-exchange.ts
+++ b/src/targets/load-exchange.ts
@@ -3,7 +3,6 @@
 import type { Caller, CastHandlers, Contract } from '../link';
 import { pickCoordinator } from './coordinator';
 import type { TargetDirectory } from './directory';
-import type { PaceBook, SlowTarget, TurnRatios } from './pace-book';
 
 /** Shortest pause between messages; a turn takes ten times as long. Milliseconds. */
 const SHORTEST_PAUSE_MILLISECONDS = 20;
@@ -26,18 +25,16 @@
 /** Requests under way, by target. */
 export type Loads = readonly (readonly [target: string, requests: number])[];
 
-/** Requests of one gateway that are under way, and what its turns took since its last report. */
+/** Requests of one gateway that are under way. */
 export interface LoadReport {
   readonly gateway: string;
   readonly inFlight: Loads;
-  readonly turns: readonly TurnRatios[];
 }
 
-/** Requests of all other gateways that are under way, and slow targets, as their coordinator knows. */
+/** Requests of all other gateways that are under way, as their coordinator knows. */
 export interface ElsewhereReport {
   readonly coordinator: string;
   readonly inFlight: Loads;
-  readonly slow: readonly SlowTarget[];
 }
 
 export interface LoadContract {
@@ -52,7 +49,6 @@
   readonly self: NodeInfo;
   readonly directory: NodeDirectory;
   readonly targets: TargetDirectory;
-  readonly pace: Pick<PaceBook, 'takeFresh' | 'add' | 'slowTargets'>;
   readonly peers: Pick<Caller<LoadContract>, 'cast' | 'isConnected'>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -63,11 +59,6 @@
   readonly heardAt: number;
 }
 
-/** What this gateway goes by of the others. */
-interface HeardElsewhere extends HeardReport {
-  readonly slow: readonly SlowTarget[];
-}
-
 /** The newest message to one receiver. */
 interface SentMessage {
   readonly text: string;
@@ -88,7 +79,7 @@
   readonly #heard = new Map<string, HeardReport>();
   readonly #sent = new Map<string, SentMessage>();
   readonly #passedOver = new Map<string, number>();
-  #elsewhere: HeardElsewhere = { inFlight: [], slow: [], heardAt: -Infinity };
+  #elsewhere: HeardReport = { inFlight: [], heardAt: -Infinity };
   #coordinator: string | undefined;
   #coordinatorSince = 0;
   #cancel: CancelTimer = () => undefined;
@@ -106,15 +97,14 @@
   }
 
   get casts(): CastHandlers<LoadContract> {
-    const { clock, pace } = this.#options;
+    const { clock } = this.#options;
     return {
-      'targets.load': ({ gateway, inFlight, turns }) => {
-        pace.add(turns);
+      'targets.load': ({ gateway, inFlight }) => {
         this.#heard.set(gateway, { inFlight, heardAt: clock.monotonic() });
       },
-      'targets.load-elsewhere': ({ coordinator, inFlight, slow }) => {
+      'targets.load-elsewhere': ({ coordinator, inFlight }) => {
         if (coordinator !== this.#coordinator) return;
-        this.#elsewhere = { inFlight, slow, heardAt: clock.monotonic() };
+        this.#elsewhere = { inFlight, heardAt: clock.monotonic() };
         this.#apply();
       },
     };
@@ -130,19 +120,17 @@
   }
 
   #exchange(): void {
-    const { self, clock, peers, pace } = this.#options;
+    const { self, clock, peers } = this.#options;
     const coordinator = this.#pickCoordinator();
     const own = this.#ownLoads();
     if (coordinator.name === self.name) {
       this.#heard.set(self.name, { inFlight: own, heardAt: clock.monotonic() });
-      pace.add(pace.takeFresh());
       this.#tellAll();
       return;
     }
     this.#forgetStale();
     if (!this.#isNews(coordinator.name, own)) return;
-    const report = { gateway: self.name, inFlight: own, turns: pace.takeFresh() };
-    peers.cast(coordinator.address, 'targets.load', report);
+    peers.cast(coordinator.address, 'targets.load', { gateway: self.name, inFlight: own });
   }
 
   #pickCoordinator(): NodeInfo {
@@ -180,8 +168,7 @@
 
   /** Tells each gateway that has spoken lately what all others have under way. */
   #tellAll(): void {
-    const { self, directory, peers, clock, pace } = this.#options;
-    const slow = pace.slowTargets();
+    const { self, directory, peers, clock } = this.#options;
     const since = clock.monotonic() - BELIEF_MILLISECONDS;
     for (const [name, { heardAt }] of this.#heard) {
       if (heardAt < since) this.#heard.delete(name);
@@ -190,13 +177,13 @@
     for (const [name, { inFlight }] of this.#heard) {
       const others = without(totals, inFlight);
       if (name === self.name) {
-        this.#elsewhere = { inFlight: others, slow, heardAt: clock.monotonic() };
+        this.#elsewhere = { inFlight: others, heardAt: clock.monotonic() };
         this.#apply();
         continue;
       }
       const address = directory.get(name)?.node.address;
-      if (address === undefined || !this.#isNews(name, [...others, ...slow])) continue;
-      const report = { coordinator: self.name, inFlight: others, slow };
+      if (address === undefined || !this.#isNews(name, others)) continue;
+      const report = { coordinator: self.name, inFlight: others };
       peers.cast(address, 'targets.load-elsewhere', report);
     }
   }
@@ -215,16 +202,14 @@
   #forgetStale(): void {
     const age = this.#options.clock.monotonic() - this.#elsewhere.heardAt;
     if (age < BELIEF_MILLISECONDS || this.#elsewhere.inFlight.length === 0) return;
-    this.#elsewhere = { inFlight: [], slow: [], heardAt: this.#elsewhere.heardAt };
+    this.#elsewhere = { inFlight: [], heardAt: this.#elsewhere.heardAt };
     this.#apply();
   }
 
   #apply(): void {
     this.#options.targets.noteLoads();
     const elsewhere = new Map(this.#elsewhere.inFlight);
-    const slow = new Map(this.#elsewhere.slow);
     for (const state of this.#options.targets.all()) {
-      state.slowness = slow.get(state.target.id) ?? 1;
       state.inFlightElsewhere = elsewhere.get(state.target.id) ?? 0;
     }
   }
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -23,8 +23,6 @@
   inFlight = 0;
   /** Requests of other processes that were under way there when they last said so. */
   inFlightElsewhere = 0;
-  /** How many times longer turns take here than at other engines, as the coordinator last said. */
-  slowness = 1;
   #health = NEW_TARGET_HEALTH;
 
   constructor(target: ListedTarget, clock: Clock) {
@@ -58,7 +56,6 @@
       slots: this.target.slots,
       load: this.load,
       failureShare: failureShareAt(this.#health, now),
-      slowness: this.slowness,
       isPaused: isPausedAt(this.#health, now),
       heldTokens: parts.length === 0 ? 0 : this.heldTokens(parts),
     };
--- a/src/targets/tests/chooser.test.ts
+++ b/src/targets/tests/chooser.test.ts
@@ -1,7 +1,7 @@
 import { SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import { ALL_DECISIONS, PRIOR_PACE, createPlacers } from '../../decisions';
-import { PaceBook, type PlacementRequest, TargetChooser, TargetDirectory, TargetState } from '..';
+import { ALL_DECISIONS, createPlacers } from '../../decisions';
+import { type PlacementRequest, TargetChooser, TargetDirectory, TargetState } from '..';
 
 const CLOCK = new ManualClock();
 const RANDOM = new SeededRandom(1);
@@ -32,7 +32,6 @@
         promptTokens: facts.promptTokens,
         lastTarget: facts.lastTarget,
         lastHeldTokens: facts.heldTokens,
-        pace: PRIOR_PACE,
         candidates: states.map((state) => state.candidateAt(CLOCK.monotonic(), parts)),
       },
       RANDOM,
@@ -159,12 +158,7 @@
         availabilityZone: `zone-${index % 9}`,
       })),
     );
-    const chooser = new TargetChooser({
-      ...parts,
-      targets,
-      pace: new PaceBook(parts),
-      availabilityZone: 'zone-1',
-    });
+    const chooser = new TargetChooser({ ...parts, targets, availabilityZone: 'zone-1' });
     const choose = (facts: Partial<PlacementRequest> = {}, tried: readonly string[] = []) =>
       chooser.choose({
         service: 's',
--- a/src/targets/tests/load-exchange.test.ts
+++ b/src/targets/tests/load-exchange.test.ts
@@ -2,19 +2,13 @@
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import type { LoadContract } from '..';
-import { LoadExchange, PaceBook, TargetDirectory } from '..';
-
-interface Gateway {
-  readonly targets: TargetDirectory;
-  readonly loads: LoadExchange;
-  readonly pace: PaceBook;
-}
+import { LoadExchange, TargetDirectory } from '..';
 
 /** Gateways in one process, whose messages arrive at once unless their receiver is frozen. */
 class GatewayGroup {
   readonly clock = new ManualClock();
   readonly frozen = new Set<string>();
-  readonly #gateways = new Map<string, Gateway>();
+  readonly #gateways = new Map<string, { targets: TargetDirectory; loads: LoadExchange }>();
   messages = 0;
 
   constructor(names: readonly string[]) {
@@ -42,9 +36,8 @@
       this.#gateways.get(to)?.loads.casts[name]?.(body);
     };
     const peers = { cast, isConnected: () => true };
-    const pace = new PaceBook(parts);
-    const loads = new LoadExchange({ ...parts, self, directory, targets, pace, peers });
-    this.#gateways.set(self.name, { targets, loads, pace });
+    const loads = new LoadExchange({ ...parts, self, directory, targets, peers });
+    this.#gateways.set(self.name, { targets, loads });
   }
 
   start(): void {
@@ -60,18 +53,6 @@
     if (state !== undefined) state.inFlight = requests;
   }
 
-  /** Notes a turn that took so many times 30 ms. */
-  noteTurn(gateway: string, times: number, target = 't'): void {
-    this.#gateways.get(gateway)?.pace.note('s', target, {
-      ...{ unreadTokens: 0, load: 0, slots: 8, events: 1, streamMilliseconds: 0 },
-      firstEventMilliseconds: 30 * times,
-    });
-  }
-
-  slowness(gateway: string): number | undefined {
-    return this.#gateways.get(gateway)?.targets.get('t')?.slowness;
-  }
-
   loadElsewhere(gateway: string): number | undefined {
     return this.#gateways.get(gateway)?.targets.get('t')?.inFlightElsewhere;
   }
@@ -139,41 +120,3 @@
     expect(group.loadElsewhere('b')).toBe(4);
   });
 });
-
-describe('the slowness of a target', () => {
-  let group: GatewayGroup;
-
-  beforeEach(() => {
-    group = new GatewayGroup(['a', 'b', 'c', 'd']);
-    group.start();
-    for (const name of ['b', 'c', 'd']) {
-      for (let turn = 0; turn < 60; turn += 1) group.noteTurn(name, 1, 'another target');
-    }
-    group.clock.advance(50);
-  });
-
-  afterEach(() => {
-    group.stop();
-  });
-
-  it('is known to all gateways within a second, though each sees few turns', () => {
-    for (let turn = 0; turn < 6; turn += 1) {
-      group.noteTurn('b', 5);
-      group.noteTurn('c', 5);
-      group.noteTurn('d', 5);
-      group.clock.advance(150);
-    }
-    for (const name of ['a', 'b', 'c', 'd']) expect(group.slowness(name)).toBeGreaterThan(1.5);
-  });
-
-  it('is 1 while turns take the usual time, and again some seconds after they do', () => {
-    for (let turn = 0; turn < 10; turn += 1) group.noteTurn('b', 5);
-    group.clock.advance(300);
-    expect(group.slowness('d')).toBeGreaterThan(1.5);
-    group.clock.advance(15_000);
-    expect(group.slowness('d')).toBe(1);
-    for (let turn = 0; turn < 10; turn += 1) group.noteTurn('b', 1);
-    group.clock.advance(300);
-    expect(group.slowness('d')).toBe(1);
-  });
-});
