Retry-After goes by how long a service's requests take

Cause: a refusal of a full service asked for 0.1 s for each request in front, one site's figure. Change: the usual time of answered requests is learned by service; the pause is that of the least loaded target's queue, worked off at its places. Ruled out: the time of the target alone, of which each gateway sees few requests.

--- a/src/decisions/refusal.ts
+++ b/src/decisions/refusal.ts
@@ -31,19 +31,21 @@
 /** Shortest and longest pause that a refusal asks for; seconds. */
 const RETRY_AFTER_SECONDS = { shortest: 0.1, longest: 1 };
 
-/** Time that one request in front of another costs it, roughly; seconds. */
-const TURN_SECONDS = 0.1;
-
 /**
  * The refusal of a request that no target took. Answers a service that is full: the caller is told
  * the time in which its least loaded target has most likely worked off what waits there.
+ * `usualMilliseconds`: how long the service's requests usually take.
  */
-export function refuseWithoutTarget(service: string, targets: readonly TargetLoad[]): Refusal {
+export function refuseWithoutTarget(
+  service: string,
+  targets: readonly TargetLoad[],
+  usualMilliseconds: number,
+): Refusal {
   return {
     status: 503,
     code: targets.length === 0 ? 'no_target' : 'not_run',
     message: `no target of ${service} took the request; it was not run`,
-    retryAfterSeconds: pauseFor(targets),
+    retryAfterSeconds: pauseFor(targets, usualMilliseconds),
   };
 }
 
@@ -71,9 +73,11 @@
 }
 
 /** The time until the least loaded target has most likely worked off its queue; seconds. */
-function pauseFor(targets: readonly TargetLoad[]): number {
-  const waiting = targets.map(({ load, slots }) => Math.max(0, load - slots));
-  const seconds = Math.min(...waiting, Infinity) * TURN_SECONDS;
+function pauseFor(targets: readonly TargetLoad[], usualMilliseconds: number): number {
+  const waits = targets.map(
+    ({ load, slots }) => (Math.max(0, load - slots) * usualMilliseconds) / Math.max(1, slots),
+  );
+  const seconds = Math.min(...waits, Infinity) / 1000;
   const { shortest, longest } = RETRY_AFTER_SECONDS;
   return Number.isFinite(seconds) ? Math.min(Math.max(seconds, shortest), longest) : longest;
 }
--- a/src/decisions/tests/admission.test.ts
+++ b/src/decisions/tests/admission.test.ts
@@ -41,18 +41,26 @@
       { load: 12, slots: 6 },
       { load: 9, slots: 6 },
     ];
-    expect(refuseWithoutTarget('s', targets)).toMatchObject({ status: 503, code: 'not_run' });
-    expect(refuseWithoutTarget('s', targets).retryAfterSeconds).toBeCloseTo(0.3);
+    expect(refuseWithoutTarget('s', targets, 600)).toMatchObject({ status: 503, code: 'not_run' });
+    expect(refuseWithoutTarget('s', targets, 600).retryAfterSeconds).toBeCloseTo(0.3);
+  });
+
+  it('asks for longer where requests take longer', () => {
+    const targets = [{ load: 9, slots: 6 }];
+    expect(refuseWithoutTarget('s', targets, 1200).retryAfterSeconds).toBeCloseTo(0.6);
   });
 
   it('asks for a tenth of a second at least, and for a second at most', () => {
     const pauseFor = (load: number) =>
-      refuseWithoutTarget('s', [{ load, slots: 6 }]).retryAfterSeconds;
+      refuseWithoutTarget('s', [{ load, slots: 6 }], 600).retryAfterSeconds;
     expect(pauseFor(0)).toBe(0.1);
     expect(pauseFor(600)).toBe(1);
   });
 
   it('says where a service has no target at all', () => {
-    expect(refuseWithoutTarget('s', [])).toMatchObject({ code: 'no_target', retryAfterSeconds: 1 });
+    expect(refuseWithoutTarget('s', [], 600)).toMatchObject({
+      code: 'no_target',
+      retryAfterSeconds: 1,
+    });
   });
 });
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -14,7 +14,13 @@
 } from '../decisions';
 import type { Route, RouteTable } from '../routes';
 import { pickService } from '../routes';
-import type { Placement, PlacementRequest, TargetChooser, TargetDirectory } from '../targets';
+import type {
+  Placement,
+  PlacementRequest,
+  TargetChooser,
+  TargetDirectory,
+  UsualDurations,
+} from '../targets';
 import type { AttemptOutcome } from './attempt';
 import { SecondSend, type SecondSendResult } from './second-send';
 import type { SendRequest, Sender } from './sender';
@@ -24,6 +30,7 @@
   readonly chooser: Pick<TargetChooser, 'choose'>;
   readonly placers: Placers;
   readonly sender: Pick<Sender, 'send'>;
+  readonly durations: Pick<UsualDurations, 'of'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -142,10 +149,11 @@
 
   #refuseExhausted({ service }: Course, tries: Tries): ForwardOutcome {
     if (tries.mayHaveRun) return refuse(refuseAsUnknown('all tries failed'), tries);
-    const loads = this.#options.targets
+    const { targets, durations } = this.#options;
+    const loads = targets
       .ofService(service)
       .all.map(({ load, target }) => ({ load, slots: target.slots }));
-    return refuse(refuseWithoutTarget(service, loads), tries);
+    return refuse(refuseWithoutTarget(service, loads, durations.of(service)), tries);
   }
 }
 
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,6 +1,6 @@
 import type { Clock, Metrics } from '../core';
 import { type DecisionSwitches, type HealthEvent, MISDIRECTED } from '../decisions';
-import type { Placement, TargetConnections } from '../targets';
+import type { Placement, TargetConnections, UsualDurations } from '../targets';
 import { type AnswerReceiver, Attempt, type AttemptOutcome } from './attempt';
 import type { Exchange } from './exchange';
 import type { Wire } from './wire';
@@ -11,6 +11,7 @@
 export interface SenderOptions {
   readonly wire: Wire;
   readonly connections: TargetConnections;
+  readonly durations: Pick<UsualDurations, 'note'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -35,9 +36,14 @@
   }
 
   async send(placement: Placement, request: SendRequest): Promise<AttemptOutcome> {
+    const { clock, metrics, durations } = this.#options;
     const { exchange } = request;
+    const sentAt = clock.monotonic();
     const outcome = await this.#attempt(placement, request);
-    this.#options.metrics.count(`attempts_total{outcome="${outcome.kind}"}`);
+    if (outcome.kind === 'answered' || outcome.kind === 'streamed') {
+      durations.note(placement.state.target.service, clock.monotonic() - sentAt);
+    }
+    metrics.count(`attempts_total{outcome="${outcome.kind}"}`);
     exchange.decide(describeTry(placement, outcome));
     const event = this.#healthEvent(outcome, exchange);
     if (event !== undefined) placement.state.note(event);
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -8,6 +8,7 @@
   type TargetConnection,
   type TargetConnections,
   TargetDirectory,
+  UsualDurations,
 } from '../../targets';
 import type { Exchange } from '../exchange';
 import { type ForwardRequest, Forwarder } from '../forwarder';
@@ -61,6 +62,7 @@
     metrics: new Metrics(),
     switches: ALL_DECISIONS,
     targets,
+    durations: new UsualDurations(),
   };
   return new Forwarder({
     ...shared,
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -19,6 +19,7 @@
   TargetConnections,
   TargetDirectory,
   type TargetSource,
+  UsualDurations,
 } from '../targets';
 import { ChainCache, StoreWatch, TurnClient } from '../turns';
 import { HttpEndpoint } from './http-endpoint';
@@ -105,11 +106,15 @@
   const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
   const { 'availability-zone': availabilityZone } = settings.node;
   const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
+  const durations = new UsualDurations();
   const forwarder = new Forwarder({
     targets,
     chooser,
     placers: createPlacers(switches),
-    sender: new Sender({ wire: platform.wire, connections, switches, clock, metrics }),
+    sender: new Sender({
+      ...{ wire: platform.wire, connections, durations, switches, clock, metrics },
+    }),
+    durations,
     switches,
     clock,
     random,
