bench: loads at their worst in simulated time, with the product's own decisions

Change: engines in simulated time (batches, prompts read piece by piece, a cache of parts in limited memory), 18 gateways with the real chooser and placers and loads of a given age, programs of both kinds drawn by seed. Eight loads under eight ways to decide in 10 s: `bench worst`; jest holds the gains that are kept. Ruled out: recorded arrivals, which no other size of fleet could play.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { benchLog } from './log';
 import { benchNodes } from './nodes';
 import { type PathOptions, benchPath } from './path';
+import { benchWorst } from './worst/run';
 
 const DEFAULT_CALLS = 1000;
 
@@ -38,6 +39,13 @@
   .action(async (options: AblationOptions) => {
     await benchAblation(options);
   });
+program
+  .command('worst')
+  .description('loads at their worst in simulated time, under several ways to decide, as a table')
+  .option('--seeds <numbers>', 'seeds of each load', parseNumbers, [1, 2, 3])
+  .action(({ seeds }: { readonly seeds: readonly number[] }) => {
+    benchWorst(seeds);
+  });
 program
   .command('path')
   .description('latency through martenbay beside the stand-in alone')
