Programs under way go before new ones while the engines are overloaded

Hypothesis: with demand beyond what the engines can do all programs are begun, engines lose prompts that they hold, read them again and everybody is late; finishing what is begun first serves more. Change: a program's first turn is refused at once, as not run, while the engines that can be reached have five requests or more for four places, with 0.1 to 0.3 s to come back; turns of programs that have generated anything, or that continue a turn, go on. A switch turns it off.

--- a/bench/worst/fleet.ts
+++ b/bench/worst/fleet.ts
@@ -1,5 +1,10 @@
 import { type RandomSource, SeededRandom, createSilentLogger } from '../../src/core';
-import { type DecisionSwitches, createPlacers } from '../../src/decisions';
+import {
+  type DecisionSwitches,
+  type Refusal,
+  createPlacers,
+  refuseInOverload,
+} from '../../src/decisions';
 import {
   type PromptPart,
   TargetChooser,
@@ -33,7 +38,11 @@
   readonly lastTarget: string | undefined;
   readonly heldTokens: number;
   readonly outputTokens: number;
+  /** Whether it is the first of its program. */
+  readonly startsProgram: boolean;
   readonly onEnd: (target: string) => void;
+  /** Told of a refusal, with the pause that it asks for; milliseconds. */
+  readonly onRefused: (pause: number) => void;
 }
 
 /** One gateway with what it knows; the decisions are the product's own. */
@@ -76,6 +85,11 @@
     const { calendar } = this.#options;
     const gateway = this.#gateways[Math.floor(this.#random.fraction() * this.#gateways.length)];
     if (gateway === undefined) return;
+    const refusal = this.#refuse(gateway, turn);
+    if (refusal !== undefined) {
+      turn.onRefused((refusal.retryAfterSeconds ?? 0) * 1000);
+      return;
+    }
     const { parts, lastTarget, heldTokens, outputTokens } = turn;
     const promptTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0);
     const placed = gateway.chooser.choose({
@@ -101,6 +115,12 @@
     });
   }
 
+  #refuse({ chooser }: SimulatedGateway, { startsProgram }: SimulatedTurn): Refusal | undefined {
+    if (!this.#options.switches['overload-refusals']) return undefined;
+    const load = chooser.loadOf([SERVICE]);
+    return refuseInOverload({ service: SERVICE, ...load, startsProgram }, this.#random);
+  }
+
   #createGateway(index: number): SimulatedGateway {
     const { calendar, seed } = this.#options;
     const parts = { clock: calendar, random: new SeededRandom(seed * 1000 + index) };
--- a/bench/worst/run.ts
+++ b/bench/worst/run.ts
@@ -34,6 +34,7 @@
 export const POLICIES: readonly Policy[] = [
   policy('usual'),
   { ...policy('old-loads'), loadPause: OLD_LOAD_PAUSE },
+  policy('without-overload-refusals', { 'overload-refusals': false }),
   policy('without-shared-loads', { 'shared-loads': false }),
   policy('without-held-parts', { 'held-parts': false }),
   policy('without-last-target', { 'last-target': false }),
--- a/bench/worst/workload.ts
+++ b/bench/worst/workload.ts
@@ -33,6 +33,9 @@
 /** Beginnings that the programs of one kind share. */
 const SHARED_PARTS = 3;
 
+/** Refusals after which a caller gives its program up. */
+const MOST_REFUSALS = 4;
+
 /** Time that every program has beyond the multiple; milliseconds. */
 const SPARE_MILLISECONDS = 200;
 
@@ -41,7 +44,7 @@
   readonly begun: number;
   readonly inTime: number;
   readonly late: number;
-  /** Programs that had not ended when the run did. */
+  /** Programs that were refused for good, or had not ended when the run did. */
   readonly unfinished: number;
   /** Time of a program as a multiple of its objective. */
   readonly p50: number;
@@ -117,6 +120,7 @@
   readonly #inputs: readonly number[];
   readonly #pauses: readonly number[];
   readonly #own: string;
+  #refusals = 0;
 
   constructor(kind: ProgramKind, number: number, random: RandomSource, options: WorkloadOptions) {
     this.#options = options;
@@ -154,6 +158,14 @@
       lastTarget,
       heldTokens,
       outputTokens,
+      startsProgram: index === 0,
+      onRefused: (pause) => {
+        this.#refusals += 1;
+        if (this.#refusals === MOST_REFUSALS) return;
+        calendar.after(pause, () => {
+          this.#turn(index, heldTokens, lastTarget, onEnd);
+        });
+      },
       onEnd: (target) => {
         calendar.after(this.#pauses[index] ?? 0, () => {
           this.#turn(index + 1, heldTokens + input + outputTokens, target, onEnd);
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,6 +1,7 @@
 export { type Admission, type Learned, admitTurn, preparationTime } from './admission';
 export { type Placers, createPlacers } from './baselines';
 export { enginePriority } from './order';
+export { type EngineLoad, refuseInOverload } from './overload';
 export {
   EnginePlacer,
   type PlacementCandidate,
--- a/src/decisions/refusal.ts
+++ b/src/decisions/refusal.ts
@@ -10,6 +10,7 @@
   | 'turns_unavailable'
   | 'no_target'
   | 'not_run'
+  | 'overloaded'
   | 'outcome_unknown'
   | 'time_over';
 
--- a/src/decisions/switches.ts
+++ b/src/decisions/switches.ts
@@ -27,6 +27,8 @@
     pauses: z.boolean().default(true),
     /** Tell the other gateways what is under way at each target. */
     'shared-loads': z.boolean().default(true),
+    /** Begin no program while the engines are overloaded. */
+    'overload-refusals': z.boolean().default(true),
     /** Send a request to another target where the first has not run it. */
     retries: z.boolean().default(true),
     /** Send a late repeatable call to a second target. */
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -1,4 +1,4 @@
-import { Metrics } from '../../core';
+import { Metrics, SeededRandom } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { ALL_DECISIONS, type Refusal } from '../../decisions';
 import type { Route, RouteTable } from '../../routes';
@@ -34,7 +34,8 @@
     forwarder: {} as unknown as Forwarder,
     preparer: new TurnPreparer({ turns, watch: { reachesQuorum }, clock }),
     turns,
-    chooser: { noteParts: () => undefined },
+    chooser: { noteParts: () => undefined, loadOf: () => ({ load: 0, slots: 1 }) },
+    random: new SeededRandom(1),
     switches: ALL_DECISIONS,
     clock,
     metrics: new Metrics(),
@@ -56,3 +57,52 @@
     expect(allowedMilliseconds).toBeGreaterThan(1000);
   });
 });
+
+/** Handles a turn while 20 requests are under way at 10 places; `taken` by its program before. */
+async function handleInOverload(taken: number, previousTurn?: string) {
+  const clock = new ManualClock();
+  const refusals: Refusal[] = [];
+  const settled: number[] = [];
+  const forward = jest.fn(() => Promise.resolve({ kind: 'gone' }));
+  const head = { id: 't', program: 'p', budget: 100, mostTokens: 10, parts: [], promptTokens: 5 };
+  const exchange = {
+    head: { ...head, previousTurn },
+    deadline: clock.monotonic() + 4000,
+    response: { on: () => undefined },
+    readBody: () => Promise.resolve(Buffer.from('x')),
+    decide: () => undefined,
+    log: () => undefined,
+    refuse: (refusal: Refusal) => refusals.push(refusal),
+  } as unknown as Exchange;
+  const turns = {
+    reserve: () => Promise.resolve({ fits: true, taken }),
+    chain: () => Promise.resolve({ kind: 'found', records: [] }),
+    settle: (_program: string, _turn: string, tokens: number) => settled.push(tokens),
+  } as unknown as TurnClient;
+  const handler = new TurnHandler({
+    forwarder: { forward } as unknown as Forwarder,
+    preparer: new TurnPreparer({ turns, watch: { reachesQuorum: true }, clock }),
+    turns,
+    chooser: { noteParts: () => undefined, loadOf: () => ({ load: 20, slots: 10 }) },
+    random: new SeededRandom(1),
+    switches: ALL_DECISIONS,
+    clock,
+    metrics: new Metrics(),
+  });
+  await handler.handle(exchange, { ...ROUTE, services: [{ service: 's', weight: 1 }] }, TABLE);
+  return { refusals, settled, sent: forward.mock.calls.length };
+}
+
+describe('a turn while the engines are overloaded', () => {
+  it('is refused as not run where it begins a program, and gives its reservation back', async () => {
+    const { refusals, settled, sent } = await handleInOverload(0);
+    expect(refusals).toMatchObject([{ status: 503, code: 'overloaded' }]);
+    expect(settled).toEqual([0]);
+    expect(sent).toBe(0);
+  });
+
+  it('is sent where its program has generated something, or continues a turn', async () => {
+    expect(await handleInOverload(35)).toMatchObject({ refusals: [], sent: 1 });
+    expect(await handleInOverload(0, 'earlier')).toMatchObject({ refusals: [], sent: 1 });
+  });
+});
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,5 +1,10 @@
-import { type Clock, MartenbayError, type Metrics } from '../core';
-import { type DecisionSwitches, enginePriority } from '../decisions';
+import { type Clock, MartenbayError, type Metrics, type RandomSource } from '../core';
+import {
+  type DecisionSwitches,
+  type Refusal,
+  enginePriority,
+  refuseInOverload,
+} from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
 import type { Placement, PlacementRequest, TargetChooser } from '../targets';
 import type { TurnClient } from '../turns';
@@ -17,9 +22,10 @@
   readonly forwarder: Forwarder;
   readonly preparer: TurnPreparer;
   readonly turns: Pick<TurnClient, 'record'>;
-  readonly chooser: Pick<TargetChooser, 'noteParts'>;
+  readonly chooser: Pick<TargetChooser, 'noteParts' | 'loadOf'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly metrics: Metrics;
 }
 
@@ -50,12 +56,23 @@
     const turn: Turn = { exchange, route, table, id, program, input };
     const { preparer } = this.#options;
     const preparation = await preparer.prepare(turn);
-    if (preparation.kind === 'refused') {
-      preparer.settle(turn, 0);
-      exchange.refuse(preparation.refusal);
-      return;
-    }
-    await this.#send(turn, preparation.chain);
+    const refusal =
+      preparation.kind === 'refused'
+        ? preparation.refusal
+        : this.#refuseInOverload(turn, preparation.startsProgram);
+    if (refusal !== undefined) preparer.settle(turn, 0);
+    if (refusal !== undefined) exchange.refuse(refusal);
+    else if (preparation.kind === 'admitted') await this.#send(turn, preparation.chain);
+  }
+
+  #refuseInOverload({ exchange, route }: Turn, startsProgram: boolean): Refusal | undefined {
+    const { chooser, switches, random } = this.#options;
+    if (!startsProgram || !switches['overload-refusals']) return undefined;
+    const services = route.services.map(({ service }) => service);
+    const { load, slots } = chooser.loadOf(services);
+    exchange.decide({ step: 'overload', load, slots });
+    const service = services.join(', ');
+    return refuseInOverload({ service, load, slots, startsProgram }, random);
   }
 
   async #send(turn: Turn, chain: Chain): Promise<void> {
--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -23,6 +23,16 @@
 /** Turns that are continued, oldest first. */
 export type Chain = readonly TurnRecord[];
 
+/** What stands before a turn is sent: its chain, or why it is refused. */
+export type PreparedTurn =
+  | Extract<Admission<Chain>, { readonly kind: 'refused' }>
+  | {
+      readonly kind: 'admitted';
+      readonly chain: Chain;
+      /** Whether its program has generated nothing yet, as far as the stores know. */
+      readonly startsProgram: boolean;
+    };
+
 export interface TurnPreparerOptions {
   readonly turns: Pick<TurnClient, 'reserve' | 'chain' | 'settle'>;
   readonly watch: Pick<StoreWatch, 'reachesQuorum'>;
@@ -40,7 +50,7 @@
     this.#options = options;
   }
 
-  async prepare(turn: Turn): Promise<Admission<Chain>> {
+  async prepare(turn: Turn): Promise<PreparedTurn> {
     const { turns, watch, clock } = this.#options;
     const { head } = turn.exchange;
     const startedAt = clock.monotonic();
@@ -64,11 +74,15 @@
       chain: chain instanceof TurnsUnavailable ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
-    return admitTurn({
+    const admission = admitTurn({
       chain: learned(chain, (told) => (told.kind === 'found' ? told.records : undefined)),
       fitsBudget: learned(reserved, ({ fits }) => fits),
       reachesQuorum: watch.reachesQuorum,
     });
+    if (admission.kind === 'refused') return admission;
+    const taken = reserved instanceof TurnsUnavailable ? 0 : reserved.taken;
+    const startsProgram = head.previousTurn === undefined && taken === 0;
+    return { ...admission, startsProgram };
   }
 
   #reserve({ exchange, program, id }: Turn, deadline: number): Promise<ReserveOutcome> {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -126,7 +126,7 @@
   const turns = new TurnClient(turnParts);
   const preparer = new TurnPreparer({ turns, watch, clock });
   const turnHandler = new TurnHandler({
-    ...{ forwarder, preparer, turns, chooser, switches, clock, metrics },
+    ...{ forwarder, preparer, turns, chooser, switches, clock, random, metrics },
   });
   let table: RouteTable | undefined;
   let leaving = false;
--- a/src/targets/chooser.ts
+++ b/src/targets/chooser.ts
@@ -1,5 +1,5 @@
 import type { Clock, RandomSource } from '../core';
-import type { PlacementCandidate, Placer } from '../decisions';
+import type { EngineLoad, PlacementCandidate, Placer } from '../decisions';
 import type { TargetDirectory } from './directory';
 import { PartHolders } from './part-holders';
 import type { TargetState } from './state';
@@ -76,6 +76,18 @@
     return { state, cost, candidates: weighed, ages: targets.agesAt(now) };
   }
 
+  /** What the services' targets that can be reached have under way; of a large one, a sample. */
+  loadOf(services: readonly string[]): EngineLoad {
+    const { targets, availabilityZone, random } = this.#options;
+    const states = services
+      .flatMap((service) => targets.ofService(service).select([], availabilityZone, random))
+      .filter(({ isPaused }) => !isPaused);
+    return {
+      load: states.reduce((sum, state) => sum + state.load, 0),
+      slots: states.reduce((sum, { target }) => sum + target.slots, 0),
+    };
+  }
+
   /** Notes what an engine has read, and generated behind it. */
   noteParts(
     state: TargetState,
