The test of a damaged history waits until the history is in its file

Trace, the same test beside load: one leader throughout (term 1), its file of histories holds the mark alone and the other two hosts have none yet, although the turn was answered. Ruled out: a leader that had changed; a text lost (the log holds it; the first test of this file proves that nothing is lost). Change: the test waits for the event that it rests on, the size of the file, and then flips the same byte and expects the same.

--- a/tests/disk-failures.test.ts
+++ b/tests/disk-failures.test.ts
@@ -1,10 +1,13 @@
-import { readFile, readdir, rm, writeFile } from 'node:fs/promises';
+import { readFile, readdir, rm, stat, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { INSTANT_ENGINE } from '../src/local';
 import type { LogLine } from '../scripts/separate/child';
 import { SeparateSystem } from '../scripts/separate/system';
 import { Caller } from './caller';
 
+/** A byte in the first text of a file of histories. */
+const FLIPPED_BYTE = 60;
+
 describe('control hosts whose disks fail', () => {
   let system: SeparateSystem;
   let caller: Caller;
@@ -93,8 +96,11 @@
     it('ends its host, whose place another takes, and is filled again by the others', async () => {
       const { leader, group } = await system.groupOf(program);
       const folder = join(folderOf(leader), 'contents', group);
-      const [file = ''] = await readdir(folder);
-      await flip(join(folder, file), 60);
+      const [name = ''] = await readdir(folder);
+      const history = join(folder, name);
+      // The log holds a history that was acknowledged; its own file is written behind.
+      await system.until(async () => (await stat(history)).size > FLIPPED_BYTE);
+      await flip(history, FLIPPED_BYTE);
       const lost = system.child(leader);
       const answer = await caller.turn(program, 2, 'Two.');
       expect(answer).toMatchObject({ status: 200 });
