--- a/src/core/tests/folded-line.test.ts
+++ b/src/core/tests/folded-line.test.ts
@@ -1,17 +1,10 @@
-import { Writable } from 'node:stream';
-import { FoldedLine, createLogger } from '..';
+import { FoldedLine } from '..';
+import { collectLog } from './collected-log';
 import { ManualClock } from './manual-clock';
 
 function noteEvery(milliseconds: number, times: number) {
-  const lines: Record<string, unknown>[] = [];
-  const stream = new Writable({
-    write(chunk: Buffer, _encoding, done) {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
+  const { logger, lines } = collectLog();
   const clock = new ManualClock();
-  const logger = createLogger({ role: 'r', host: 'h', stream });
   const line = new FoldedLine({ event: 'e', milliseconds: 1000, clock, logger });
   for (let time = 0; time < times; time += 1) {
     line.note({ time });
--- a/src/nodes/tests/settings-holder.test.ts
+++ b/src/nodes/tests/settings-holder.test.ts
@@ -1,8 +1,7 @@
 import { mkdtempSync, rmSync, utimesSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { Writable } from 'node:stream';
-import { createLogger } from '../../core';
+import { collectLog } from '../../core/tests/collected-log';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { loadSettings } from '../../settings/load';
 import { nodeSettingsSchema } from '../settings';
@@ -30,29 +29,22 @@
   const folder = mkdtempSync(join(tmpdir(), 'settings-'));
   const file = join(folder, 'settings.toml');
   const clock = new ManualClock();
-  const lines: Record<string, unknown>[] = [];
 
   afterAll(() => {
     rmSync(folder, { recursive: true });
   });
 
-  function createHolder(): SettingsHolder {
+  function createHolder() {
     writeFileSync(file, textWith('10.0.0.1:1'));
     const settings = loadSettings(nodeSettingsSchema, file);
     const holder = new SettingsHolder({ file, settings, clock });
-    const stream = new Writable({
-      write(chunk: Buffer, _encoding, done) {
-        lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-        done();
-      },
-    });
-    holder.logTo(createLogger({ role: 'r', host: 'h', stream }));
-    lines.length = 0;
-    return holder;
+    const { logger, lines } = collectLog();
+    holder.logTo(logger);
+    return { holder, lines };
   }
 
   it('are in force after a reload, and listeners are told', () => {
-    const holder = createHolder();
+    const { holder, lines } = createHolder();
     const levels: string[] = [];
     holder.onReload(({ node }) => levels.push(node['log-level']));
     writeFileSync(file, textWith('10.0.0.2:1', 'debug'));
@@ -63,7 +55,7 @@
   });
 
   it('are in force within a second of a change that nobody tells', () => {
-    const holder = createHolder();
+    const { holder } = createHolder();
     holder.start();
     writeFileSync(file, textWith('10.0.0.3:1'));
     utimesSync(file, 1, 1);
@@ -73,7 +65,7 @@
   });
 
   it('stay as they were where the file is not valid, and the reason is logged', () => {
-    const holder = createHolder();
+    const { holder, lines } = createHolder();
     writeFileSync(file, textWith('no address'));
     holder.reload('SIGHUP');
     expect(holder.current.node.seeds).toEqual(['10.0.0.1:1']);
