--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -1,4 +1,5 @@
 import type { Issue } from '../core';
+import { findSharedKeys } from '../teams';
 import type { ConfigurationFile, ParsedFile, Service } from './schema';
 
 /** Sections whose entries have names. */
@@ -18,6 +19,7 @@
     ...files.flatMap((file) => references(file)).flatMap((reference) => resolve(files, reference)),
     ...files.flatMap((file) => checkServices(file)),
     ...checkModels(files),
+    ...checkKeys(files),
   ];
 }
 
@@ -158,3 +160,15 @@
   );
   return findRepeated(models, 'model');
 }
+
+function checkKeys(files: readonly ParsedFile[]): readonly Issue[] {
+  return findSharedKeys(
+    files.flatMap(({ name: file, content }) =>
+      content.team.map(({ name, 'key-digests': keyDigests }, index) => ({
+        name,
+        keyDigests,
+        path: [file, 'team', index, 'key-digests'],
+      })),
+    ),
+  );
+}
--- a/src/configuration/tests/parse.test.ts
+++ b/src/configuration/tests/parse.test.ts
@@ -81,6 +81,24 @@
       expect(result.err && result.val.issues).toMatchSnapshot();
     });
 
+    it('finds a key that two teams hold, in whatever files, without naming it', () => {
+      const digest = 'b'.repeat(64);
+      const teamOf = (name: string) => `[[team]]
+name = "${name}"
+key-digests = ["${digest}"]
+default-program = "none"
+`;
+      const result = safeParseConfiguration([
+        { name: 'a.toml', text: `number = 1\n${teamOf('red')}` },
+        { name: 'b.toml', text: teamOf('blue') },
+      ]);
+      const issues = result.err ? result.val.issues : [];
+      const shared = issues.filter(({ code }) => code === 'shared_key');
+      expect(shared).toMatchObject([{ path: ['b.toml', 'team', 0, 'key-digests', 0] }]);
+      expect(shared[0]?.message).toContain('"red"');
+      expect(shared[0]?.message).not.toContain(digest);
+    });
+
     it('refuses a directory with two numbers, or none', () => {
       const numbered = { name: 'z.toml', text: 'number = 3' };
       expect(codesOf([...files, numbered])).toEqual(['number_twice']);
--- a/src/entry/request.ts
+++ b/src/entry/request.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import * as z from 'zod';
 import type { Configuration, Team } from '../configuration';
-import { type Clock, digestText, equalSecrets } from '../core';
+import { type Clock, equalSecrets } from '../core';
+import { digestKey } from '../teams';
 import { HEADERS } from '../protocol';
 import { notRun } from './refusal';
 
@@ -58,7 +59,7 @@
 /** Finds the team whose key the caller shows as a bearer token. */
 export function authenticate(request: IncomingMessage, configuration: Configuration): Team {
   const match = /^Bearer (\S{1,500})$/i.exec(request.headers.authorization ?? '');
-  const digest = digestText(match?.[1] ?? '');
+  const digest = digestKey(match?.[1] ?? '');
   const team = configuration.teams.find((entry) =>
     entry['key-digests'].some((known) => equalSecrets(known, digest)),
   );
--- a/src/local/configuration.ts
+++ b/src/local/configuration.ts
@@ -1,5 +1,6 @@
 import type { SourceFile } from '../configuration';
-import { type Address, digestText, formatAddress } from '../core';
+import { type Address, formatAddress } from '../core';
+import { digestKey } from '../teams';
 
 /** Caller's key of the local system's one team; for trials only. */
 export const LOCAL_KEY = 'local-trial-key';
@@ -43,7 +44,7 @@
 
 const PROGRAMS = `[[team]]
 name = "counter"
-key-digests = ["${digestText(LOCAL_KEY)}"]
+key-digests = ["${digestKey(LOCAL_KEY)}"]
 default-program = "rebooking"
 
 [[budget]]
--- a/src/operator/command.ts
+++ b/src/operator/command.ts
@@ -1,9 +1,9 @@
-import { createHash } from 'node:crypto';
 import { Command, Option } from 'commander';
 import { VERSION } from '../binary/version';
 import { MartenbayError, messageOf } from '../core';
 import { ControlUnavailableError } from '../protocol';
 import { loadSettings } from '../settings';
+import { digestKey } from '../teams';
 import { type ApplyOptions, type CommandOptions, apply, diff, validate } from './apply';
 import { OPERATOR_EXIT, type OperatorExit } from './exit';
 import { explain } from './explain';
@@ -93,16 +93,16 @@
     .command('digest-key')
     .description("read a caller's key from standard input and print the digest for a team's file")
     .action(async () => {
-      finish(await digestKey());
+      finish(await printKeyDigest());
     });
   return program;
 }
 
-async function digestKey(): Promise<OperatorExit> {
+async function printKeyDigest(): Promise<OperatorExit> {
   const chunks: Buffer[] = [];
   for await (const chunk of process.stdin as AsyncIterable<Buffer>) chunks.push(chunk);
   const key = Buffer.concat(chunks).toString().trim();
-  process.stdout.write(`${createHash('sha256').update(key).digest('hex')}\n`);
+  process.stdout.write(`${digestKey(key)}\n`);
   return OPERATOR_EXIT.done;
 }
 
--- /dev/null
+++ b/src/teams/tests/teams.test.ts
@@ -0,0 +1,79 @@
+import fc from 'fast-check';
+import { type Team, TeamDirectory, digestKey, findSharedKeys, identify, idWithinTeam } from '..';
+
+function team(name: string, ...keys: readonly string[]): Team {
+  return { name, keyDigests: keys.map(digestKey), priority: 0, quota: undefined };
+}
+
+describe('teams', () => {
+  const teams = new TeamDirectory([team('red', 'r1', 'r2'), team('blue', 'b1'), team('grey')]);
+  const closed = { isPublic: false };
+
+  describe('known by a key', () => {
+    it('are the ones that hold it', () => {
+      expect(identify(teams, { key: 'r2', ...closed })).toMatchObject({ team: { name: 'red' } });
+      expect(identify(teams, { key: 'b1', ...closed })).toMatchObject({ team: { name: 'blue' } });
+    });
+
+    it('are nobody where no key, or one that nobody holds, is given', () => {
+      expect(identify(teams, { key: undefined, ...closed })).toEqual({ kind: 'no-key' });
+      expect(identify(teams, { key: 'r3', ...closed })).toEqual({ kind: 'unknown-key' });
+      expect(identify(teams, { key: digestKey('r1'), ...closed })).toEqual({ kind: 'unknown-key' });
+    });
+
+    it('are known on routes that are open to all as well, where anyone else is served too', () => {
+      const open = { isPublic: true };
+      expect(identify(teams, { key: 'r1', ...open })).toMatchObject({ team: { name: 'red' } });
+      expect(identify(teams, { key: 'r3', ...open })).toEqual({ kind: 'anyone' });
+      expect(identify(teams, { key: undefined, ...open })).toEqual({ kind: 'anyone' });
+    });
+  });
+
+  describe('that there are none of', () => {
+    it('leave everybody served, with a key and without', () => {
+      expect(identify(undefined, { key: 'r1', ...closed })).toEqual({ kind: 'anyone' });
+      expect(identify(undefined, { key: undefined, ...closed })).toEqual({ kind: 'anyone' });
+    });
+
+    it('leave nobody served once an empty list stands in the configuration', () => {
+      const none = new TeamDirectory([]);
+      expect(identify(none, { key: 'r1', ...closed })).toEqual({ kind: 'unknown-key' });
+    });
+  });
+
+  describe('with one key for two', () => {
+    it('are found, by name and place and without the key', () => {
+      const keyed = [team('red', 'r1', 'same'), team('blue', 'same')].map((one, index) => ({
+        ...one,
+        path: ['teams', index, 'keys'],
+      }));
+      const issues = findSharedKeys(keyed);
+      expect(issues).toMatchObject([{ code: 'shared_key', path: ['teams', 1, 'keys', 0] }]);
+      expect(issues[0]?.message).toContain('"red"');
+      expect(JSON.stringify(issues)).not.toContain('same');
+    });
+
+    it('are not found where one team names its own key twice', () => {
+      expect(findSharedKeys([{ ...team('red', 'r1', 'r1'), path: [] }])).toEqual([]);
+    });
+  });
+
+  describe('that name things alike', () => {
+    /** What a header can hold: no line feed. */
+    const callersId = fc.string().map((text) => text.replaceAll('\n', ''));
+
+    it('never meet, whatever their names and the ids are', () => {
+      const anyTeam = fc.option(fc.string(), { nil: undefined });
+      const owned = fc.record({ name: anyTeam, id: callersId });
+      fc.assert(
+        fc.property(owned, owned, (left, right) => {
+          const idOf = ({ name, id }: typeof left) =>
+            idWithinTeam(name === undefined ? undefined : { name }, id);
+          const isSame = left.name === right.name && left.id === right.id;
+          expect(idOf(left) === idOf(right)).toBe(isSame);
+        }),
+        { numRuns: 2000, seed: 1 },
+      );
+    });
+  });
+});
