--- a/src/storage/file-system.ts
+++ b/src/storage/file-system.ts
@@ -30,6 +30,9 @@
   syncFolder(folder: string): Promise<void>;
 }
 
+/** Files and folders are for their owner alone: they hold callers' keys and what programs said. */
+const OWNER_ONLY = { file: 0o600, folder: 0o700 } as const;
+
 export interface NodeFileSystemOptions {
   /**
    * Whether files are opened so that each write lasts by itself (O_DSYNC), which saves a call.
@@ -47,7 +50,7 @@
   }
 
   async ensureFolder(folder: string): Promise<void> {
-    const first = await mkdir(folder, { recursive: true });
+    const first = await mkdir(folder, { recursive: true, mode: OWNER_ONLY.folder });
     if (first === undefined) return;
     for (let path = folder; path.length >= first.length; path = dirname(path)) {
       await this.syncFolder(dirname(path));
@@ -73,12 +76,13 @@
   }
 
   async create(file: string): Promise<AppendFile> {
-    return new NodeAppendFile(await open(file, 'w'), false);
+    return new NodeAppendFile(await open(file, 'w', OWNER_ONLY.file), false);
   }
 
   async createSynchronous(file: string): Promise<AppendFile> {
     const { O_WRONLY, O_CREAT, O_TRUNC } = constants;
-    const handle = await open(file, O_WRONLY | O_CREAT | O_TRUNC | this.#synchronousFlag);
+    const flags = O_WRONLY | O_CREAT | O_TRUNC | this.#synchronousFlag;
+    const handle = await open(file, flags, OWNER_ONLY.file);
     return new NodeAppendFile(handle, this.#synchronousWrites);
   }
 
