--- a/src/cluster/client.ts
+++ b/src/cluster/client.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Logger, delay, messageOf } from '../core';
 import { type CallName, type Caller, LinkError } from '../link';
+import type { QuotaGrants, QuotaReport } from '../quotas';
 import type {
   ClusterContract,
   LeaderAnswer,
@@ -21,7 +22,8 @@
 /** Pause before the leader is looked for again; milliseconds. */
 const RETRY_MILLISECONDS = 60;
 
-type LeaderCall = 'cluster.propose' | 'cluster.read' | 'cluster.retire' | 'cluster.retirement';
+type LeaderCall =
+  'cluster.propose' | 'cluster.read' | 'cluster.retire' | 'cluster.retirement' | 'cluster.quotas';
 
 type Calls = ClusterContract['calls'];
 
@@ -70,6 +72,11 @@
     return this.#ask('cluster.retirement', store);
   }
 
+  /** Asks for parts of teams' quotas; rejects with {@link ClusterUnavailable}. */
+  takeQuotas(report: QuotaReport): Promise<QuotaGrants> {
+    return this.#ask('cluster.quotas', report);
+  }
+
   async #ask<Name extends LeaderCall, Value>(
     name: Name & CallName<ClusterContract>,
     request: Calls[Name]['request'],
--- /dev/null
+++ b/src/cluster/confirmation.ts
@@ -0,0 +1,63 @@
+import type { CancelTimer, Clock } from '../core';
+
+interface Waiter {
+  /** Only a question asked at this time or later counts; monotonic milliseconds. */
+  readonly since: number;
+  readonly resolve: (confirmed: boolean) => void;
+  readonly cancel: CancelTimer;
+}
+
+/**
+ * How lately the leader has confirmed that this process knows the newest configuration. What was
+ * acknowledged before the leader was asked is known here; what came later may not be.
+ */
+export class Confirmation {
+  readonly #clock: Clock;
+  readonly #waiters = new Set<Waiter>();
+  #askedAt = -Infinity;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Time since the question was asked that was confirmed last; Infinity before the first. */
+  get ageMilliseconds(): number {
+    return this.#clock.monotonic() - this.#askedAt;
+  }
+
+  /** Notes that a question asked at `askedAt` was answered by whoever led then. */
+  confirm(askedAt: number): void {
+    this.#askedAt = Math.max(this.#askedAt, askedAt);
+    for (const waiter of this.#waiters) {
+      if (waiter.since <= this.#askedAt) this.#settle(waiter, true);
+    }
+  }
+
+  /** Whether a question asked at `since` or later is confirmed already. */
+  isConfirmedSince(since: number): boolean {
+    return this.#askedAt >= since;
+  }
+
+  /** Whether a question asked at `since` or later is confirmed within `milliseconds`. */
+  confirmedSince(since: number, milliseconds: number): Promise<boolean> {
+    if (this.isConfirmedSince(since)) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const cancel = this.#clock.after(milliseconds, () => {
+        this.#settle(waiter, false);
+      });
+      const waiter: Waiter = { since, resolve, cancel };
+      this.#waiters.add(waiter);
+    });
+  }
+
+  /** Callers that wait at present. */
+  get waiting(): number {
+    return this.#waiters.size;
+  }
+
+  #settle(waiter: Waiter, confirmed: boolean): void {
+    this.#waiters.delete(waiter);
+    waiter.cancel();
+    waiter.resolve(confirmed);
+  }
+}
--- a/src/cluster/contract.ts
+++ b/src/cluster/contract.ts
@@ -1,3 +1,4 @@
+import type { QuotaGrants, QuotaReport } from '../quotas';
 import type { Envelope } from '../replication';
 import type { NodeInfo, NodeStatus } from './node';
 import type { ClusterCommand, CommandOutcome } from './machine';
@@ -24,6 +25,11 @@
   readonly leader: LeaderHint | undefined;
   readonly configurationVersion: number;
   readonly viewEpoch: number;
+  /**
+   * Whether the answerer leads, so that no newer configuration than it names was acknowledged before it
+   * answered. Former builds leave it out.
+   */
+  readonly confirms?: boolean;
 }
 
 /** A configuration as it was accepted. */
@@ -63,6 +69,11 @@
       readonly request: string;
       readonly answer: LeaderAnswer<RetirementOutcome>;
     };
+    /** Asks the leader for parts of teams' quotas. */
+    readonly 'cluster.quotas': {
+      readonly request: QuotaReport;
+      readonly answer: LeaderAnswer<QuotaGrants>;
+    };
     readonly 'cluster.configuration': {
       readonly request: null;
       readonly answer: VersionedConfiguration | undefined;
--- a/src/cluster/greeter.ts
+++ b/src/cluster/greeter.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Component, type Logger, PeriodicTask, messageOf } from '../core';
 import type { Caller } from '../link';
+import type { Confirmation } from './confirmation';
 import type {
   ClusterContract,
   GreetingAnswer,
@@ -17,6 +18,12 @@
 /** The same while no configuration or no view is known, as after a start. Milliseconds. */
 const STARTING_MILLISECONDS = 75;
 
+/**
+ * Age of the last confirmation from which on the process greets as after a start: three greetings have
+ * brought none, so a new leader is most likely being elected. Milliseconds.
+ */
+const UNCONFIRMED_MILLISECONDS = 1000;
+
 /** Longest wait for an answer; milliseconds. */
 const ANSWER_MILLISECONDS = 1000;
 
@@ -34,6 +41,10 @@
   readonly logger: Logger;
   readonly configuration: Newest<VersionedConfiguration>;
   readonly view: Newest<StoreView>;
+  /** Told when the leader confirms the newest configuration; nothing where nobody needs to know. */
+  readonly confirmation?: Confirmation | undefined;
+  /** Whether this process leads the cluster's state, and so needs nobody's confirmation. */
+  readonly leads?: () => boolean;
 }
 
 /** Tells seeds and keepers of the cluster's state about this process, and learns from them. */
@@ -47,6 +58,7 @@
   constructor(options: GreeterOptions) {
     this.#options = options;
     this.#task = new PeriodicTask(options.clock, STARTING_MILLISECONDS, () => {
+      this.#confirmAsLeader();
       if (this.#isDue()) this.#greetAll();
     });
   }
@@ -74,9 +86,17 @@
     this.#leaderHeardAt = this.#options.clock.monotonic();
   }
 
+  #confirmAsLeader(): void {
+    const { clock, confirmation, leads } = this.#options;
+    if (leads?.() === true) confirmation?.confirm(clock.monotonic());
+  }
+
   #isDue(): boolean {
-    const { clock, configuration, view } = this.#options;
+    const { clock, configuration, view, confirmation } = this.#options;
     if (configuration.number === 0 || view.number === 0) return true;
+    if (confirmation !== undefined && confirmation.ageMilliseconds > UNCONFIRMED_MILLISECONDS) {
+      return true;
+    }
     const sinceLast = clock.monotonic() - this.#greetedAt;
     return sinceLast > GREETING_MILLISECONDS - STARTING_MILLISECONDS / 2;
   }
@@ -92,30 +112,39 @@
   }
 
   async #greet(address: string): Promise<void> {
-    const { self, status, directory, peers, logger } = this.#options;
+    const { self, status, directory, peers, clock, logger } = this.#options;
+    const askedAt = clock.monotonic();
     const greeting = { node: self, status: status(), nodesDigest: directory.digest };
     try {
       const answer = await peers.call(address, 'cluster.greet', greeting, ANSWER_MILLISECONDS);
-      this.#take(address, answer);
+      this.#take(address, answer, askedAt);
     } catch (error) {
       logger.debug({ event: 'greeting-failed', peer: address, error: messageOf(error) });
     }
   }
 
-  #take(address: string, answer: GreetingAnswer): void {
-    const { directory, configuration, view } = this.#options;
+  #take(address: string, answer: GreetingAnswer, askedAt: number): void {
+    const { directory, configuration, view, confirmation } = this.#options;
     directory.learn(answer.node);
     for (const node of answer.nodes ?? []) directory.learn(node);
     this.hint(answer.leader);
-    if (answer.configurationVersion > configuration.number) void this.#fetchConfiguration(address);
+    if (answer.configurationVersion > configuration.number) {
+      void this.#fetchConfiguration(address, answer, askedAt);
+    } else if (answer.confirms === true) confirmation?.confirm(askedAt);
     if (answer.viewEpoch > view.number) void this.#fetchView(address);
   }
 
-  async #fetchConfiguration(address: string): Promise<void> {
-    const { peers, configuration, logger } = this.#options;
+  async #fetchConfiguration(
+    address: string,
+    { configurationVersion, confirms }: GreetingAnswer,
+    askedAt: number,
+  ): Promise<void> {
+    const { peers, configuration, confirmation, logger } = this.#options;
     try {
       const newer = await peers.call(address, 'cluster.configuration', null, ANSWER_MILLISECONDS);
       if (newer !== undefined) configuration.offer(newer);
+      const isNewest = configuration.number >= configurationVersion;
+      if (confirms === true && isNewest) confirmation?.confirm(askedAt);
     } catch (error) {
       logger.warn({ event: 'configuration-not-read', peer: address, error: messageOf(error) });
     }
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -1,9 +1,10 @@
 export { ClusterClient, type ClusterClientOptions } from './client';
+export { Confirmation } from './confirmation';
 export type { ClusterContract, RetirementOutcome, VersionedConfiguration } from './contract';
 export { NodeDirectory } from './directory';
 export { ClusterUnavailable } from './errors';
 export { Founding } from './founding';
-export { Greeter } from './greeter';
+export { Greeter, type GreeterOptions } from './greeter';
 export { type ClusterCommand, ClusterMachine, type CommandOutcome } from './machine';
 export { KnownState, type KnownStateOptions } from './known-state';
 export { ClusterMember } from './member';
--- a/src/cluster/member.ts
+++ b/src/cluster/member.ts
@@ -7,6 +7,7 @@
   messageOf,
 } from '../core';
 import type { Caller } from '../link';
+import type { Leadership } from '../quotas';
 import { type Envelope, ReplicatedLog, allMembers, hostOf, nameOf } from '../replication';
 import type { RecordStore } from '../storage';
 import type { ClusterContract, LeaderAnswer, LeaderHint, VersionedConfiguration } from './contract';
@@ -87,6 +88,12 @@
     return this.#log.term === 0 && this.#log.membership.voters.length === 0;
   }
 
+  /** This member's leadership, while it {@link serves}. */
+  get leadership(): Leadership {
+    const { term, leaderSince } = this.#log;
+    return { term, since: leaderSince };
+  }
+
   get leader(): LeaderHint | undefined {
     const { leader, term } = this.#log;
     if (leader === undefined) return undefined;
--- a/src/cluster/service.ts
+++ b/src/cluster/service.ts
@@ -1,4 +1,5 @@
 import { type Component, type Logger, PeriodicTask, type Clock } from '../core';
+import type { QuotaHolder } from '../quotas';
 import type { CallHandlers, Caller, CastHandlers } from '../link';
 import type { LocalLeader } from './client';
 import type { ClusterContract, GreetingAnswer, Greeting, VersionedConfiguration } from './contract';
@@ -32,6 +33,8 @@
   readonly configuration: Newest<VersionedConfiguration>;
   readonly view: Newest<StoreView>;
   readonly keeper: KeeperParts | undefined;
+  /** Lends the teams' quotas while this process leads; nothing where it never does. */
+  readonly quotas?: QuotaHolder | undefined;
 }
 
 /** Answers other processes about the cluster, and tells them of changes as the leader. */
@@ -63,7 +66,7 @@
 
   /** What only the leader answers, for this process's own use. */
   get local(): LocalLeader | undefined {
-    const { keeper } = this.#options;
+    const { keeper, quotas } = this.#options;
     if (keeper === undefined) return undefined;
     const { member, viewKeeper } = keeper;
     return {
@@ -71,6 +74,10 @@
       'cluster.read': () => member.read(() => member.machine.configuration),
       'cluster.retire': (store) => viewKeeper.retire(store),
       'cluster.retirement': (store) => viewKeeper.retirement(store),
+      'cluster.quotas': (report) => {
+        if (quotas === undefined) return { kind: 'not-now', reason: 'no quotas are lent here' };
+        return member.read(() => quotas.take(report, member.leadership));
+      },
     };
   }
 
@@ -109,6 +116,7 @@
       leader: keeper?.member.leader ?? greeter.leader,
       configurationVersion: configuration.number,
       viewEpoch: view.number,
+      confirms: keeper?.member.serves ?? false,
     };
   }
 
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,5 +1,14 @@
 export { type Admission, type Learned, admitTurn, preparationTime } from './admission';
 export { type Placers, createPlacers } from './baselines';
+export {
+  type KeySnapshot,
+  type KeyVerdict,
+  KEYS_UNCONFIRMED,
+  NO_KEY,
+  UNKNOWN_KEY,
+  judgeKey,
+  mayUseKeys,
+} from './keys';
 export { enginePriority } from './order';
 export { type EngineLoad, refuseInOverload } from './overload';
 export {
@@ -10,6 +19,7 @@
   type Placer,
   SlotPlacer,
 } from './placement';
+export { refuseByQuota } from './quotas';
 export {
   type Refusal,
   type RefusalCode,
--- a/src/decisions/tests/placement.test.ts
+++ b/src/decisions/tests/placement.test.ts
@@ -103,6 +103,7 @@
 
 describe('the priority that engines are told', () => {
   it('keeps the order of routes within what engines know', () => {
-    expect([0, 1, 2, 7].map((priority) => enginePriority({ priority }))).toEqual([2, 5, 8, 9]);
+    const priorities = [0, 1, 2, 7].map((priority) => enginePriority({ priority }, undefined));
+    expect(priorities).toEqual([2, 5, 8, 9]);
   });
 });
--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -1,3 +1,4 @@
+import { idWithinTeam } from '../teams';
 import type { LogLine } from './log-line';
 import { orderByCause } from './order';
 
@@ -112,9 +113,13 @@
   const groups = new Map<string, LogLine[]>();
   for (const line of lines) {
     if (line.event !== 'request' || line.program === undefined) continue;
-    const group = groups.get(line.program) ?? [];
+    const program = idWithinTeam(
+      line.team === undefined ? undefined : { name: line.team },
+      line.program,
+    );
+    const group = groups.get(program) ?? [];
     group.push(line);
-    groups.set(line.program, group);
+    groups.set(program, group);
   }
   return groups;
 }
--- a/src/explain/log-line.ts
+++ b/src/explain/log-line.ts
@@ -15,6 +15,8 @@
   event: z.string(),
   request: z.string().optional(),
   program: z.string().optional(),
+  /** Team of the caller; programs of two teams may have one name. */
+  team: z.string().optional(),
   /** Request whose turn this one continues. */
   previous: z.string().optional(),
   kind: z.string().optional(),
--- a/src/gateway/call-handler.ts
+++ b/src/gateway/call-handler.ts
@@ -2,21 +2,31 @@
 import type { PlacementRequest } from '../targets';
 import type { Exchange } from './exchange';
 import type { Forwarder } from './forwarder';
+import type { QuotaGate } from './quota-gate';
+
+export interface CallHandlerParts {
+  readonly forwarder: Forwarder;
+  readonly quotaGate: QuotaGate;
+}
 
 /** Passes a request whose answer is collected whole to a target. */
 export async function handleCall(
-  forwarder: Forwarder,
+  { forwarder, quotaGate }: CallHandlerParts,
   exchange: Exchange,
   route: Route,
   table: RouteTable,
 ): Promise<void> {
+  const pass = quotaGate.ask(exchange, false);
   const body = await exchange.readBody(table.configuration.limits.bodyBytes);
-  if (body === 'gone') {
-    exchange.log('gone');
+  if (body === 'gone' || body === 'too-large') {
+    pass.giveBack();
+    if (body === 'gone') exchange.log('gone');
+    else exchange.refuse(BODY_TOO_LARGE);
     return;
   }
-  if (body === 'too-large') {
-    exchange.refuse(BODY_TOO_LARGE);
+  const refusal = await pass.refusal();
+  if (refusal !== undefined) {
+    exchange.refuse(refusal);
     return;
   }
   const outcome = await forwarder.forward({
@@ -26,6 +36,7 @@
     body: body.length > 0 ? body : null,
     placement: placementOf(exchange),
   });
+  if (outcome.kind === 'refused' && outcome.isNotRun) pass.giveBack();
   if (outcome.kind === 'answered') exchange.answer(outcome.status, outcome.headers, outcome.body);
   else if (outcome.kind === 'refused') exchange.refuse(outcome.refusal);
   else exchange.log('gone');
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, Metrics } from '../core';
 import type { Refusal } from '../decisions';
 import type { Route } from '../routes';
+import type { Team } from '../teams';
 import type { RequestHead } from './wire';
 
 export interface ExchangeOptions {
@@ -29,6 +30,10 @@
   /** Time from the arrival to the first byte of a target's answer; milliseconds. */
   #beganAfter: number | undefined;
   #route: Route | undefined;
+  /** The caller's team; nothing for callers without a key. */
+  team: Team | undefined;
+  /** Whether callers' keys are for the system alone. */
+  hidesKey = false;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -139,6 +144,7 @@
       request: this.head.id,
       program: this.head.program,
       previous: this.head.previousTurn,
+      team: this.team?.name,
       programMilliseconds: this.head.programMilliseconds,
       route: this.#route?.name,
       kind: this.#route?.kind,
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -22,6 +22,7 @@
   UsualDurations,
 } from '../targets';
 import type { AttemptOutcome } from './attempt';
+import type { KeyGuard } from './key-guard';
 import { SecondSend, type SecondSendResult } from './second-send';
 import type { SendRequest, Sender } from './sender';
 
@@ -30,6 +31,7 @@
   readonly chooser: Pick<TargetChooser, 'choose'>;
   readonly placers: Placers;
   readonly sender: Pick<Sender, 'send'>;
+  readonly keyGuard: Pick<KeyGuard, 'recheck'>;
   readonly durations: Pick<UsualDurations, 'of'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
@@ -84,6 +86,11 @@
       if (exchange.remainingMilliseconds <= 0) {
         return refuse(refuseAsTooLate(tries.mayHaveRun), tries);
       }
+      const forbidden = this.#options.keyGuard.recheck(exchange);
+      if (forbidden !== undefined) {
+        const refusal = tries.mayHaveRun ? refuseAsUnknown(forbidden.message) : forbidden;
+        return refuse(refusal, tries);
+      }
       const placement = this.#place(course);
       if (placement === undefined) return this.#refuseExhausted(course, tries);
       const { outcome, sends } = await this.#try(placement, course, tries);
@@ -125,7 +132,8 @@
       route: request.route.name,
       first,
       sendAgain: () => {
-        const other = this.#place(course);
+        const isAllowed = this.#options.keyGuard.recheck(request.exchange) === undefined;
+        const other = isAllowed ? this.#place(course) : undefined;
         if (other === undefined) return undefined;
         metrics.count('second_sends_total');
         return sender.send(other, request);
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -87,6 +87,8 @@
         remainingMilliseconds: Math.max(1, Math.floor(exchange.remainingMilliseconds)),
         target: state.target.id,
         priority,
+        team: exchange.team?.name,
+        hidesKey: exchange.hidesKey,
       }),
       body,
       receiver,
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -11,7 +11,9 @@
 import type { CallerLimits, RouteTable } from '../routes';
 import { handleCall } from './call-handler';
 import { Exchange } from './exchange';
+import type { KeyGuard } from './key-guard';
 import type { Forwarder } from './forwarder';
+import type { QuotaGate } from './quota-gate';
 import type { TurnHandler } from './turn-handler';
 import type { Wire } from './wire';
 
@@ -31,7 +33,9 @@
   readonly address: Address;
   readonly wire: Wire;
   readonly forwarder: Forwarder;
+  readonly quotaGate: QuotaGate;
   readonly turnHandler: Pick<TurnHandler, 'handle'>;
+  readonly keyGuard: Pick<KeyGuard, 'admit'>;
   readonly routes: () => RouteTable | undefined;
   /** Whether callers are well served here; if not they are told to open another connection. */
   readonly isReady: () => boolean;
@@ -104,7 +108,7 @@
     const exchange = new Exchange({
       request,
       response,
-      head: wire.readRequest(request.headers),
+      head: wire.readRequest(request.headers, request.rawHeaders),
       clock,
       logger,
       metrics,
@@ -140,9 +144,14 @@
       return;
     }
     exchange.route = route;
-    const { forwarder, turnHandler } = this.#options;
+    const { turnHandler, keyGuard } = this.#options;
+    const refusal = await keyGuard.admit(exchange, route);
+    if (refusal !== undefined) {
+      exchange.refuse(refusal);
+      return;
+    }
     if (route.kind === 'stream') await turnHandler.handle(exchange, route, table);
-    else await handleCall(forwarder, exchange, route, table);
+    else await handleCall(this.#options, exchange, route, table);
   }
 }
 
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -2,7 +2,7 @@
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { type Route, RouteTable } from '../../routes';
-import { ALL_DECISIONS, createPlacers } from '../../decisions';
+import { ALL_DECISIONS, type Refusal, UNKNOWN_KEY, createPlacers } from '../../decisions';
 import {
   TargetChooser,
   type TargetConnection,
@@ -27,6 +27,7 @@
   attempts: 2,
   isResumable: false,
   retentionSeconds: undefined,
+  isPublic: false,
 };
 
 const TABLE = new RouteTable({
@@ -34,6 +35,7 @@
   routes: [ROUTE],
   services: [{ name: 's', connectionLimit: 2, engine: undefined }],
   limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+  teams: undefined,
 });
 
 const EXCHANGE = {
@@ -50,12 +52,14 @@
 };
 
 interface ForwarderParts {
+  /** Why the caller's key may not be used, asked before each send. */
+  readonly recheck?: () => Refusal | undefined;
   readonly targets: TargetDirectory;
   readonly wire: Wire;
   readonly take: () => TargetConnection;
 }
 
-function createForwarder({ targets, wire, take }: ForwarderParts): Forwarder {
+function createForwarder({ targets, wire, take, recheck }: ForwarderParts): Forwarder {
   const shared = {
     clock: new ManualClock(),
     random: new SeededRandom(1),
@@ -63,6 +67,7 @@
     switches: ALL_DECISIONS,
     targets,
     durations: new UsualDurations(),
+    keyGuard: { recheck: recheck ?? (() => undefined) },
   };
   return new Forwarder({
     ...shared,
@@ -108,7 +113,10 @@
 });
 
 /** Sends a stream to two engines that both end their connections before any event; counts tries. */
-async function countTries(isResumable: boolean): Promise<number> {
+async function countTries(
+  isResumable: boolean,
+  recheck?: (tries: number) => Refusal | undefined,
+): Promise<number> {
   const clock = new ManualClock();
   const random = new SeededRandom(1);
   const parts = { clock, random, logger: createSilentLogger() };
@@ -128,7 +136,7 @@
     discard: () => undefined,
   });
   const wire = { buildTargetHeaders: () => [] } as unknown as Wire;
-  const forwarder = createForwarder({ targets, wire, take });
+  const forwarder = createForwarder({ targets, wire, take, recheck: () => recheck?.(tries) });
   const exchange = {
     hasLeft: () => false,
     remainingMilliseconds: 500,
@@ -152,3 +160,10 @@
     expect(await countTries(false)).toBe(1);
   });
 });
+
+describe('a request whose key is taken away while it is tried', () => {
+  it('is not sent again, though its route allows it', async () => {
+    const recheck = (tries: number) => (tries > 0 ? UNKNOWN_KEY : undefined);
+    expect(await countTries(true, recheck)).toBe(1);
+  });
+});
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -2,12 +2,13 @@
 import { type Address, Metrics, SystemClock, createSilentLogger } from '../../core';
 import { findFreeAddresses } from '../../local';
 import { RouteTable } from '../../routes';
-import { type Forwarder, GatewayServer, type Wire } from '..';
+import { FREE_PASS, type Forwarder, GatewayServer, type QuotaGate, type Wire } from '..';
 
 const WIRE: Wire = {
   readRequest: () => ({
     id: 'r1',
     waitMilliseconds: undefined,
+    key: undefined,
     program: undefined,
     programMilliseconds: undefined,
     budget: undefined,
@@ -35,6 +36,7 @@
       attempts: 1,
       isResumable: false,
       retentionSeconds: undefined,
+      isPublic: false,
     },
   ],
   services: [],
@@ -44,6 +46,7 @@
     headerMilliseconds: 3000,
     idleMilliseconds: 15_000,
   },
+  teams: undefined,
 });
 
 /** Holds the one request that it is given until it is let go. */
@@ -92,6 +95,8 @@
       wire: WIRE,
       forwarder: forwarder as unknown as Forwarder,
       turnHandler: { handle: () => Promise.resolve() },
+      keyGuard: { admit: () => Promise.resolve(undefined) },
+      quotaGate: { ask: () => FREE_PASS } as unknown as QuotaGate,
       routes: () => TABLE,
       isReady: () => false,
       clock: new SystemClock(),
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -5,10 +5,17 @@
 import { type TurnClient, TurnsUnavailable } from '../../turns';
 import type { Exchange } from '../exchange';
 import type { Forwarder } from '../forwarder';
+import { QuotaGate } from '../quota-gate';
 import { TurnHandler } from '../turn-handler';
 import { TurnPreparer } from '../turn-preparer';
 
 const ROUTE = { name: 'r', kind: 'stream', retentionSeconds: 60 } as unknown as Route;
+/** The callers here have no team. */
+const WITHOUT_QUOTAS = new QuotaGate({
+  quotas: { admit: () => Promise.reject(new Error('not expected')), giveBack: () => undefined },
+  random: new SeededRandom(1),
+});
+
 const TABLE = { configuration: { limits: { bodyBytes: 1000 } } } as unknown as RouteTable;
 
 /** Handles one turn while no store answers; returns the refusal and the time that was allowed. */
@@ -33,6 +40,7 @@
   const handler = new TurnHandler({
     forwarder: {} as unknown as Forwarder,
     preparer: new TurnPreparer({ turns, watch: { reachesQuorum }, clock }),
+    quotaGate: WITHOUT_QUOTAS,
     turns,
     chooser: { noteParts: () => undefined, loadOf: () => ({ load: 0, slots: 1 }) },
     random: new SeededRandom(1),
@@ -82,6 +90,7 @@
   const handler = new TurnHandler({
     forwarder: { forward } as unknown as Forwarder,
     preparer: new TurnPreparer({ turns, watch: { reachesQuorum: true }, clock }),
+    quotaGate: WITHOUT_QUOTAS,
     turns,
     chooser: { noteParts: () => undefined, loadOf: () => ({ load: 20, slots: 10 }) },
     random: new SeededRandom(1),
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -6,6 +6,7 @@
   refuseInOverload,
 } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
+import { idWithinTeam } from '../teams';
 import type { Placement, PlacementRequest, TargetChooser } from '../targets';
 import type { TurnClient } from '../turns';
 import type { Attempt } from './attempt';
@@ -13,7 +14,8 @@
 import { EventOutput } from './event-output';
 import type { Exchange } from './exchange';
 import type { ForwardOutcome, Forwarder } from './forwarder';
-import type { Chain, Turn, TurnPreparer } from './turn-preparer';
+import type { QuotaGate, QuotaPass } from './quota-gate';
+import type { Chain, PreparedTurn, Turn, TurnPreparer } from './turn-preparer';
 
 /** Shortest time for which a whole turn is tried to be kept; milliseconds. */
 const RECORD_MILLISECONDS = 2500;
@@ -21,6 +23,7 @@
 export interface TurnHandlerOptions {
   readonly forwarder: Forwarder;
   readonly preparer: TurnPreparer;
+  readonly quotaGate: Pick<QuotaGate, 'ask'>;
   readonly turns: Pick<TurnClient, 'record'>;
   readonly chooser: Pick<TargetChooser, 'noteParts' | 'loadOf'>;
   readonly switches: DecisionSwitches;
@@ -38,44 +41,59 @@
   }
 
   async handle(exchange: Exchange, route: Route, table: RouteTable): Promise<void> {
+    const pass = this.#options.quotaGate.ask(exchange, startsProgram(exchange, route));
     const input = await exchange.readBody(table.configuration.limits.bodyBytes);
-    if (input === 'gone') {
-      exchange.log('gone');
+    const { id, program = id, previousTurn } = exchange.head;
+    if (typeof input === 'string' || id === undefined || program === undefined) {
+      pass.giveBack();
+      if (input === 'gone') exchange.log('gone');
+      else exchange.refuse(input === 'too-large' ? BODY_TOO_LARGE : NO_ID);
       return;
     }
-    if (input === 'too-large') {
-      exchange.refuse(BODY_TOO_LARGE);
-      return;
-    }
-    const { id } = exchange.head;
-    if (id === undefined) {
-      exchange.refuse(NO_ID);
+    const own = (callersId: string) => idWithinTeam(exchange.team, callersId);
+    const previous = previousTurn === undefined ? undefined : own(previousTurn);
+    await this.#handle(
+      { exchange, route, table, id: own(id), program: own(program), previous, input },
+      pass,
+    );
+  }
+
+  async #handle(turn: Turn, pass: QuotaPass): Promise<void> {
+    const { exchange, route } = turn;
+    const beyondQuota = startsProgram(exchange, route) ? await pass.refusal() : undefined;
+    if (beyondQuota !== undefined) {
+      exchange.refuse(beyondQuota);
       return;
     }
-    const program = exchange.head.program ?? id;
-    const turn: Turn = { exchange, route, table, id, program, input };
     const { preparer } = this.#options;
-    const preparation = await preparer.prepare(turn);
-    const refusal =
-      preparation.kind === 'refused'
-        ? preparation.refusal
-        : this.#refuseInOverload(turn, preparation.startsProgram);
-    if (refusal !== undefined) preparer.settle(turn, 0);
-    if (refusal !== undefined) exchange.refuse(refusal);
-    else if (preparation.kind === 'admitted') await this.#send(turn, preparation.chain);
+    const [preparation, refusedByQuota] = await Promise.all([
+      preparer.prepare(turn),
+      pass.refusal(),
+    ]);
+    const refusal = refusedByQuota ?? this.#refuse(turn, preparation);
+    if (refusal !== undefined) {
+      preparer.settle(turn, 0);
+      pass.giveBack();
+      exchange.refuse(refusal);
+    } else if (preparation.kind === 'admitted') await this.#send(turn, preparation.chain, pass);
   }
 
-  #refuseInOverload({ exchange, route }: Turn, startsProgram: boolean): Refusal | undefined {
+  #refuse(turn: Turn, preparation: PreparedTurn): Refusal | undefined {
+    if (preparation.kind === 'refused') return preparation.refusal;
+    return this.#refuseInOverload(turn, preparation.startsProgram);
+  }
+
+  #refuseInOverload({ exchange, route }: Turn, begins: boolean): Refusal | undefined {
     const { chooser, switches, random } = this.#options;
-    if (!startsProgram || !switches['overload-refusals']) return undefined;
+    if (!begins || !switches['overload-refusals']) return undefined;
     const services = route.services.map(({ service }) => service);
     const { load, slots } = chooser.loadOf(services);
     exchange.decide({ step: 'overload', load, slots });
     const service = services.join(', ');
-    return refuseInOverload({ service, load, slots, startsProgram }, random);
+    return refuseInOverload({ service, load, slots, startsProgram: begins }, random);
   }
 
-  async #send(turn: Turn, chain: Chain): Promise<void> {
+  async #send(turn: Turn, chain: Chain, pass: QuotaPass): Promise<void> {
     const { exchange, route, table } = turn;
     const { forwarder, switches } = this.#options;
     const output = new EventOutput();
@@ -88,7 +106,7 @@
       table,
       body: buildBody(chain, turn.input),
       placement: placementWith(exchange, chain),
-      priority: switches['engine-priorities'] ? enginePriority(route) : undefined,
+      priority: switches['engine-priorities'] ? enginePriority(route, exchange.team) : undefined,
       onAttempt: (started, placement) => {
         attempt = started;
         placed = placement;
@@ -103,6 +121,7 @@
         },
       },
     });
+    if (outcome.kind === 'refused' && outcome.isNotRun) pass.giveBack();
     await this.#finish(turn, outcome, output, placed);
   }
 
@@ -133,7 +152,7 @@
 
   /** The answer is whole for the caller only once the turn lasts. */
   async #complete(turn: Turn, output: EventOutput, placed: Placement | undefined): Promise<void> {
-    const { exchange, route, table, id, program, input } = turn;
+    const { exchange, route, table, id, program, previous, input } = turn;
     const { clock, turns, metrics, preparer, chooser } = this.#options;
     const engine = engineOf(table, placed);
     const tokens = output.count * (engine?.tokensPerEvent ?? 1);
@@ -150,7 +169,7 @@
           {
             id,
             program,
-            previous: exchange.head.previousTurn,
+            previous,
             input,
             output: output.toBuffer(),
             tokens,
@@ -179,6 +198,15 @@
   message: 'the request carries no id; give each attempt one of its own',
 } as const;
 
+/**
+ * Whether a turn is the first of its program, as far as its head tells: on routes that keep turns, every
+ * other turn names the one before it.
+ */
+function startsProgram({ head }: Exchange, route: Route): boolean {
+  const isKept = route.retentionSeconds !== undefined;
+  return isKept && head.program !== undefined && head.previousTurn === undefined;
+}
+
 /** Inputs and outputs of the chain, oldest first, then the new input. */
 function buildBody(chain: Chain, input: Buffer): Buffer {
   const parts = chain.flatMap((record) => [record.input, record.output]);
--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -16,7 +16,10 @@
   readonly route: Route;
   readonly table: RouteTable;
   readonly id: string;
+  /** Known within the caller's team only, as are `id` and `previous`. */
   readonly program: string;
+  /** The turn that this one continues. */
+  readonly previous: string | undefined;
   readonly input: Buffer;
 }
 
@@ -52,6 +55,7 @@
 
   async prepare(turn: Turn): Promise<PreparedTurn> {
     const { turns, watch, clock } = this.#options;
+    const { previous } = turn;
     const { head } = turn.exchange;
     const startedAt = clock.monotonic();
     const patience = preparationTime(watch.reachesQuorum);
@@ -59,9 +63,9 @@
     const [reserved, chain] = await Promise.all([
       this.#ask(() => this.#reserve(turn, deadline)),
       this.#ask(() =>
-        head.previousTurn === undefined || turn.route.retentionSeconds === undefined
+        previous === undefined || turn.route.retentionSeconds === undefined
           ? Promise.resolve({ kind: 'found', records: [] } as const)
-          : turns.chain(head.previousTurn, deadline),
+          : turns.chain(previous, deadline),
       ),
     ]);
     turn.exchange.decide({
@@ -81,7 +85,7 @@
     });
     if (admission.kind === 'refused') return admission;
     const taken = reserved instanceof TurnsUnavailable ? 0 : reserved.taken;
-    const startsProgram = head.previousTurn === undefined && taken === 0;
+    const startsProgram = previous === undefined && taken === 0;
     return { ...admission, startsProgram };
   }
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -6,6 +6,8 @@
   readonly id: string | undefined;
   /** How long the caller waits, from the time it sent the request. */
   readonly waitMilliseconds: number | undefined;
+  /** The key by which it is known whose caller it is; nothing if it sent none, or more than one. */
+  readonly key: string | undefined;
   readonly program: string | undefined;
   /** Time that remains until the whole program should be over. */
   readonly programMilliseconds: number | undefined;
@@ -39,13 +41,18 @@
   readonly target: string;
   /** 0 to 9, 0 first; left to the target's default if not given. */
   readonly priority: number | undefined;
+  /** Name of the caller's team, by which targets know who asks. */
+  readonly team: string | undefined;
+  /** Whether callers' keys are for the system alone, so that targets are not shown them. */
+  readonly hidesKey: boolean;
 }
 
 export type HeaderMap = Readonly<Record<string, string | readonly string[] | undefined>>;
 
 /** Names and forms of the headers that callers, targets and the system exchange. */
 export interface Wire {
-  readRequest(headers: HeaderMap): RequestHead;
+  /** `rawHeaders`: name, value, name, value, with those that stand twice. */
+  readRequest(headers: HeaderMap, rawHeaders: readonly string[]): RequestHead;
   readAnswer(headers: HeaderMap): AnswerHead;
   /** The caller's headers as name, value, name, value, without those the system sets itself. */
   buildTargetHeaders(rawHeaders: readonly string[], added: TargetHeaders): string[];
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { ClusterClient } from '../cluster';
+import { type ClusterClient, Confirmation } from '../cluster';
 import {
   type Clock,
   type Issue,
@@ -10,7 +10,17 @@
   parseAddress,
 } from '../core';
 import { createPlacers } from '../decisions';
-import { Forwarder, GatewayServer, Sender, TurnHandler, TurnPreparer, type Wire } from '../gateway';
+import {
+  Forwarder,
+  GatewayServer,
+  KeyGuard,
+  QuotaGate,
+  Sender,
+  TurnHandler,
+  TurnPreparer,
+  type Wire,
+} from '../gateway';
+import { QuotaClient, QuotaHolder, type QuotaReport } from '../quotas';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
   LoadExchange,
@@ -81,10 +91,15 @@
     viewEpoch: view.number,
     completeFor: 0,
   });
-  const greeter = parts.createGreeter(self, status);
+  let table: RouteTable | undefined;
   const founding = parts.createFounding(self);
   const keeper = keepsClusterState ? parts.createKeeper(self, founding) : undefined;
-  const service = parts.createService(self, { status, greeter, founding, keeper });
+  const confirmation = new Confirmation(clock);
+  const leads = () => keeper?.member.serves === true;
+  const greeter = parts.createGreeter(self, status, { confirmation, leads });
+  const quotaHolder = new QuotaHolder({ teams: () => table?.teams, clock, logger });
+  const serviceParts = { status, greeter, founding, keeper, quotas: quotaHolder };
+  const service = parts.createService(self, serviceParts);
   const client = parts.createClient(self, greeter, service);
 
   const source = new SharedTargetSource({
@@ -107,6 +122,16 @@
   const { 'availability-zone': availabilityZone } = settings.node;
   const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const durations = new UsualDurations();
+  const keyGuard = new KeyGuard({
+    routes: () => table,
+    newestVersion: () => configuration.number,
+    confirmation,
+    removalMilliseconds: settings.teams['key-removal-milliseconds'],
+    metrics,
+  });
+  const ask = (report: QuotaReport) => client.takeQuotas(report);
+  const quotas = new QuotaClient({ run: self.run, ask, clock, logger });
+  const quotaGate = new QuotaGate({ quotas, random });
   const forwarder = new Forwarder({
     targets,
     chooser,
@@ -114,6 +139,7 @@
     sender: new Sender({
       ...{ wire: platform.wire, connections, durations, switches, clock, metrics },
     }),
+    keyGuard,
     durations,
     switches,
     clock,
@@ -126,16 +152,18 @@
   const turns = new TurnClient(turnParts);
   const preparer = new TurnPreparer({ turns, watch, clock });
   const turnHandler = new TurnHandler({
-    ...{ forwarder, preparer, turns, chooser, switches, clock, random, metrics },
+    ...{ forwarder, preparer, quotaGate, turns, chooser, switches, clock, random, metrics },
   });
-  let table: RouteTable | undefined;
   let leaving = false;
-  const isReady = () => !leaving && table !== undefined && targets.isLoaded && watch.reachesQuorum;
+  const isServing = () => table !== undefined && targets.isLoaded && watch.reachesQuorum;
+  const isReady = () => !leaving && isServing() && keyGuard.isConfirmed;
   const server = new GatewayServer({
     address: parseAddress(settings.listen.callers ?? ''),
     wire: platform.wire,
     forwarder,
     turnHandler,
+    keyGuard,
+    quotaGate,
     routes: () => table,
     isReady,
     clock,
@@ -169,6 +197,7 @@
   if (keeper !== undefined) lifeCycle.add('view-keeper', keeper.viewKeeper);
   lifeCycle.add('store-watch', watch);
   lifeCycle.add('targets', targets);
+  lifeCycle.add('quotas', quotas);
   if (switches['shared-loads']) lifeCycle.add('loads', loads);
   addEndpoint(parts, lifeCycle, settings.listen.readiness, (_request, response) => {
     response.statusCode = isReady() ? 200 : 503;
--- a/src/nodes/node.ts
+++ b/src/nodes/node.ts
@@ -15,6 +15,7 @@
   ClusterService,
   Founding,
   Greeter,
+  type GreeterOptions,
   type KeeperParts,
   KnownState,
   Newest,
@@ -28,6 +29,7 @@
 } from '../cluster';
 import { LatencyHistograms } from '../core/latency';
 import { type CallHandlers, type CastHandlers, LinkListener, Peers } from '../link';
+import type { QuotaHolder } from '../quotas';
 import { NodeFileSystem, QuarantiningStore, type RecordStore } from '../storage';
 import type { SystemContract } from './contract';
 import { HttpEndpoint, answerMetrics } from './http-endpoint';
@@ -116,8 +118,12 @@
     });
   }
 
-  createGreeter(self: NodeInfo, status: () => NodeStatus): Greeter {
-    return new Greeter({ ...this.#shared, self, status, seeds: this.seeds });
+  createGreeter(
+    self: NodeInfo,
+    status: () => NodeStatus,
+    leadership?: Pick<GreeterOptions, 'confirmation' | 'leads'>,
+  ): Greeter {
+    return new Greeter({ ...this.#shared, self, status, seeds: this.seeds, ...leadership });
   }
 
   createFounding(self: NodeInfo): Founding {
@@ -157,6 +163,7 @@
       readonly greeter: Greeter;
       readonly founding: Founding;
       readonly keeper: KeeperParts | undefined;
+      readonly quotas?: QuotaHolder;
     },
   ): ClusterService {
     return new ClusterService({ ...this.#shared, self, ...parts });
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -36,6 +36,16 @@
     /** Calls a second that all processes may make together. */
     'calls-per-second': z.number().positive(),
   }),
+  /** What holds for teams, where the configuration has them. */
+  teams: z
+    .strictObject({
+      /**
+       * Time after the acknowledgement of a key's removal in which no request may run under it any more, at
+       * any process; left out where a removal may take as long as any other change. Milliseconds.
+       */
+      'key-removal-milliseconds': z.number().positive().optional(),
+    })
+    .prefault({}),
   /** Mechanisms that are switched off, for measurements; left out, all are in use. */
   decisions: decisionSwitchesSchema.prefault({}),
 });
--- a/src/replication/replicated-log.ts
+++ b/src/replication/replicated-log.ts
@@ -157,6 +157,11 @@
     return this.#started.keeper.silentMembers(this.#member, now);
   }
 
+  /** Monotonic time at which this member began to lead, while it leads; milliseconds. */
+  get leaderSince(): number {
+    return this.#member.leaderSince;
+  }
+
   /** Entries held in memory behind the last snapshot. */
   get entriesHeld(): number {
     return this.#member.lastIndex - this.#member.log.base.index;
--- a/src/routes/check.ts
+++ b/src/routes/check.ts
@@ -1,4 +1,5 @@
 import type { Issue } from '../core';
+import { findSharedKeys } from '../teams';
 import type { RouteConfiguration } from './configuration';
 
 /** Finds what makes a configuration that was read whole unfit to be in force. */
@@ -8,6 +9,8 @@
     ...findSamePlaces(configuration),
     ...findWeightless(configuration),
     ...findWithoutTime(configuration),
+    ...findSameTeams(configuration),
+    ...findKeysOfTwoTeams(configuration),
   ];
 }
 
@@ -54,3 +57,25 @@
     return [{ code: 'no_timeout', path: ['routes', index], message }];
   });
 }
+
+function findSameTeams({ teams = [] }: RouteConfiguration): readonly Issue[] {
+  const seen = new Set<string>();
+  return teams.flatMap(({ name }, index) => {
+    if (!seen.has(name)) {
+      seen.add(name);
+      return [];
+    }
+    const message = `has the same name as another team, "${name}"; rename one of them`;
+    return [{ code: 'name_twice', path: ['teams', index], message }];
+  });
+}
+
+function findKeysOfTwoTeams({ teams = [] }: RouteConfiguration): readonly Issue[] {
+  return findSharedKeys(
+    teams.map(({ name, keyDigests }, index) => ({
+      name,
+      keyDigests,
+      path: ['teams', index, 'keys'],
+    })),
+  );
+}
--- a/src/routes/configuration.ts
+++ b/src/routes/configuration.ts
@@ -1,3 +1,5 @@
+import type { Team } from '../teams';
+
 /** What may be done again with a request whose outcome is not known. */
 export type RequestKind =
   /** May run more than once. */
@@ -33,6 +35,8 @@
   readonly isResumable: boolean;
   /** Seconds for which whole turns are kept, where callers send only what is new. */
   readonly retentionSeconds: number | undefined;
+  /** Whether callers without a key are served, where the configuration has teams. */
+  readonly isPublic: boolean;
 }
 
 /** What an engine's service is set up with. */
@@ -65,4 +69,6 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Nothing where callers need no key; with an empty list no key is known. */
+  readonly teams: readonly Team[] | undefined;
 }
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -1,13 +1,18 @@
+import { TeamDirectory } from '../teams';
 import type { Route, RouteConfiguration, RouteService, Service } from './configuration';
 
 /** Finds routes by host and longest path prefix. */
 export class RouteTable {
   readonly configuration: RouteConfiguration;
+  /** Nothing where callers need no key. */
+  readonly teams: TeamDirectory | undefined;
   readonly #routesByHost = new Map<string, Map<string, Route>>();
   readonly #services: ReadonlyMap<string, Service>;
 
   constructor(configuration: RouteConfiguration) {
     this.configuration = configuration;
+    const { teams } = configuration;
+    this.teams = teams === undefined ? undefined : new TeamDirectory(teams);
     this.#services = new Map(configuration.services.map((service) => [service.name, service]));
     for (const route of configuration.routes) {
       const routes = this.#routesByHost.get(route.host) ?? new Map<string, Route>();
--- a/src/routes/tests/routes.test.ts
+++ b/src/routes/tests/routes.test.ts
@@ -19,6 +19,7 @@
     attempts: 2,
     isResumable: false,
     retentionSeconds: undefined,
+    isPublic: false,
     ...facts,
   };
 }
@@ -29,6 +30,7 @@
     routes,
     services: [{ name: 's', connectionLimit: 1, engine: undefined }],
     limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+    teams: undefined,
   };
 }
 
