--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -65,7 +65,7 @@
       this.#ask(() =>
         previous === undefined || turn.route.retentionSeconds === undefined
           ? Promise.resolve({ kind: 'found', records: [] } as const)
-          : turns.chain(previous, deadline),
+          : turns.chain(previous, turn.program, deadline),
       ),
     ]);
     turn.exchange.decide({
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -3,10 +3,11 @@
 import type { Caller } from '../link';
 import { type ReserveOptions, type ReserveOutcome, judgeBudget } from './budget';
 import type { ChainCache } from './chain-cache';
+import { holdersFirst } from './copies';
 import type { ChainAnswer, ReservationsAnswer, TurnContract, ViewMismatch } from './contract';
 import { TurnsUnavailable } from './errors';
 import type { StoreWatch } from './store-watch';
-import { type Round, askInTurn, askMembers } from './quorum';
+import { type Preference, type Round, askInTurn, askMembers } from './quorum';
 import type { TurnRecord } from './records';
 
 /** Longest wait for one store; a sync takes 1 ms, a disk may stall for seconds. Milliseconds. */
@@ -127,12 +128,20 @@
     }
   }
 
-  /** Resolves once a whole turn lasts at a quorum. */
+  /**
+   * Resolves once a whole turn lasts at a quorum. The program's holders are written to first, the other
+   * stores where one of those is late.
+   */
   async record(record: TurnRecord, deadline: number): Promise<void> {
     await this.#atQuorum<{ readonly kind: 'kept' }>({
       deadline,
       graceMilliseconds: 0,
       counts: () => true,
+      prefer: (view) => ({
+        order: this.#answeringFirst(holdersFirst(view, record.program)),
+        first: view.quorum,
+        staggerMilliseconds: STAGGER_MILLISECONDS,
+      }),
       ask: (view, { address }) =>
         this.#call(address, 'turns.record', { epoch: view.epoch, record }),
     });
@@ -140,12 +149,12 @@
   }
 
   /** Finds a turn and all that it continues; rejects where that can't be told for certain. */
-  async chain(turn: string, deadline: number): Promise<ChainLookup> {
+  async chain(turn: string, program: string, deadline: number): Promise<ChainLookup> {
     const records: TurnRecord[] = [];
     for (let id: string | undefined = turn; id !== undefined;) {
       const cached = this.#options.cache.get(id);
       const fetched: readonly TurnRecord[] =
-        cached === undefined ? await this.#fetch(id, deadline) : [cached];
+        cached === undefined ? await this.#fetch(id, program, deadline) : [cached];
       if (fetched.length === 0) {
         if (id === turn) return { kind: 'absent' };
         throw new TurnsUnavailable(`turn ${id}, which ${turn} continues, is not found`);
@@ -157,24 +166,28 @@
   }
 
   /** Nothing if a quorum says that the turn is not there. */
-  async #fetch(id: string, deadline: number): Promise<readonly TurnRecord[]> {
+  async #fetch(id: string, program: string, deadline: number): Promise<readonly TurnRecord[]> {
     const { clock, metrics, view } = this.#options;
     metrics.count('chains_fetched_total');
     while (clock.monotonic() < deadline) {
       const present = view.value;
-      const found = present === undefined ? undefined : await this.#fetchIn(present, id);
+      const found = present === undefined ? undefined : await this.#fetchIn(present, id, program);
       if (found !== undefined) return found;
       await delay(clock, RETRY_MILLISECONDS);
     }
     throw new TurnsUnavailable(`too few stores answer for turn ${id}`);
   }
 
-  /** Asks the stores of a view, the nearest first; nothing if they can't tell for certain. */
-  #fetchIn(view: StoreView, id: string): Promise<readonly TurnRecord[] | undefined> {
+  /** Asks the stores of a view, the program's holders first; nothing if they can't tell for certain. */
+  #fetchIn(
+    view: StoreView,
+    id: string,
+    program: string,
+  ): Promise<readonly TurnRecord[] | undefined> {
     const { clock, cache, logger } = this.#options;
     const absentAt = new Set<string>();
     return askInTurn<Reply<ChainAnswer>, readonly TurnRecord[]>({
-      members: this.#nearestFirst(view),
+      members: this.#nearestHoldersFirst(view, program),
       clock,
       staggerMilliseconds: STAGGER_MILLISECONDS,
       ask: ({ address }) => this.#call(address, 'turns.chain', { epoch: view.epoch, turn: id }),
@@ -192,12 +205,25 @@
     });
   }
 
-  #nearestFirst(view: StoreView | undefined): readonly ViewMember[] {
+  /** A turn's holders are those of the program that it belongs to, which most often is the asker's. */
+  #nearestHoldersFirst(view: StoreView, program: string): readonly ViewMember[] {
+    const members = holdersFirst(view, program);
+    const holders = members.slice(0, view.quorum);
+    return [...this.#nearestFirst(holders), ...this.#nearestFirst(members.slice(view.quorum))];
+  }
+
+  /** Puts the stores last that were late or lost at their last question. */
+  #answeringFirst(members: readonly ViewMember[]): readonly ViewMember[] {
+    const isSilent = ({ name }: ViewMember) => Number(this.#silent.has(name));
+    return [...members].sort((left, right) => isSilent(left) - isSilent(right));
+  }
+
+  #nearestFirst(members: readonly ViewMember[]): readonly ViewMember[] {
     const { availabilityZone, peers } = this.#options;
     const rank = (member: ViewMember) =>
       (peers.isConnected(member.address) ? 0 : 2) +
       (member.availabilityZone === availabilityZone ? 0 : 1);
-    return [...(view?.members ?? [])].sort((left, right) => rank(left) - rank(right));
+    return [...members].sort((left, right) => rank(left) - rank(right));
   }
 
   /** Asks until a quorum of one and the same view has answered. */
@@ -205,6 +231,8 @@
     readonly deadline: number;
     readonly graceMilliseconds: number;
     readonly counts: (answer: Answer) => boolean;
+    /** Which stores are asked first; all at once where it is left out. */
+    readonly prefer?: (view: StoreView) => Preference;
     readonly ask: (view: StoreView, member: ViewMember) => Promise<Reply<Answer>>;
   }): Promise<{ readonly answers: readonly Answer[]; readonly all: boolean }> {
     const { clock, view: newest, metrics } = this.#options;
@@ -221,6 +249,7 @@
           isEnough: (answers) =>
             accepted<Answer>(answers).filter(options.counts).length >= view.quorum,
           describeFailure: messageOf,
+          preference: options.prefer?.(view),
         });
         // Without a grace a round ends before the slowest store could answer.
         if (options.graceMilliseconds > 0) {
--- a/src/turns/quorum.ts
+++ b/src/turns/quorum.ts
@@ -21,31 +21,55 @@
   /** Whether a member that has not answered yet is worth that wait. */
   readonly isExpected?: (member: ViewMember) => boolean;
   readonly describeFailure: (error: unknown) => string;
+  /** Which members are asked first; all are asked at once where it is left out. */
+  readonly preference?: Preference | undefined;
 }
 
-/** Asks all members of a view at once; resolves when enough have answered, or none is left. */
+/** An order in which the members of a view are asked. */
+export interface Preference {
+  readonly order: readonly ViewMember[];
+  /** Members that are asked at once; another is asked for each that fails. */
+  readonly first: number;
+  /** Time after which all others are asked too, while not enough have answered; milliseconds. */
+  readonly staggerMilliseconds: number;
+}
+
+/**
+ * Asks members of a view, all at once or the first ones of an order first; resolves when enough have
+ * answered, or none is left.
+ */
 export function askMembers<Answer>(options: RoundOptions<Answer>): Promise<Round<Answer>> {
-  const { view, clock, ask, isEnough, graceMilliseconds, describeFailure } = options;
+  const { view, clock, ask, isEnough, graceMilliseconds, describeFailure, preference } = options;
   const { isExpected = () => true } = options;
+  const { order, first, staggerMilliseconds } = preference ?? {
+    order: view.members,
+    first: view.members.length,
+    staggerMilliseconds: 0,
+  };
   return new Promise((resolve) => {
     const answers: Answer[] = [];
     const failures: string[] = [];
-    const outstanding = new Set(view.members);
+    const outstanding = new Set<ViewMember>();
+    let asked = 0;
     let cancelGrace: CancelTimer | undefined;
+    let cancelStagger: CancelTimer | undefined;
     const finish = () => {
+      asked = order.length;
       cancelGrace?.();
+      cancelStagger?.();
       const waiting = [...outstanding].map(({ name }) => name);
       resolve({ answers: [...answers], failures: [...failures], waiting });
     };
     const judge = () => {
-      if (outstanding.size === 0) finish();
-      else if (isEnough(answers)) {
+      if (isEnough(answers)) {
         const waits = graceMilliseconds > 0 && [...outstanding].some(isExpected);
         if (!waits) finish();
         else cancelGrace ??= clock.after(graceMilliseconds, finish);
-      }
+      } else if (outstanding.size === 0 && asked < order.length) askUpTo(order.length);
+      else if (outstanding.size === 0) finish();
     };
-    for (const member of view.members) {
+    const askOne = (member: ViewMember) => {
+      outstanding.add(member);
       ask(member).then(
         (answer) => {
           outstanding.delete(member);
@@ -55,9 +79,21 @@
         (error: unknown) => {
           outstanding.delete(member);
           failures.push(`${member.name}: ${describeFailure(error)}`);
+          askUpTo(asked + 1);
           judge();
         },
       );
+    };
+    const askUpTo = (count: number) => {
+      const members = order.slice(asked, count);
+      asked += members.length;
+      members.forEach(askOne);
+    };
+    askUpTo(first);
+    if (asked < order.length) {
+      cancelStagger = clock.after(staggerMilliseconds, () => {
+        askUpTo(order.length);
+      });
     }
   });
 }
--- a/src/turns/tests/store-run.ts
+++ b/src/turns/tests/store-run.ts
@@ -17,6 +17,9 @@
 /** Reservations at once, as sub-agents make them. */
 const BURST = 4;
 
+/** The program whose turns are recorded. */
+const PROGRAM = 'chains';
+
 /** Steps in which one program is the one that reserves. */
 const PROGRAM_STEPS = 15;
 
@@ -154,7 +157,7 @@
     const id = `t${this.#turn}`;
     const record = {
       id,
-      program: 'chains',
+      program: PROGRAM,
       previous: this.#recorded.at(-1),
       input: Buffer.from(id),
       output: Buffer.from(`${id}\n`),
@@ -195,7 +198,9 @@
 
   async #readOne(id: string, deadline: number): Promise<void> {
     try {
-      const chain = await this.#anyClient().turns.chain(id, deadline);
+      // Every other reader belongs to another program, so it knows other stores as the holders.
+      const asker = Number(id.slice(1)) % 2 === 0 ? PROGRAM : 'another';
+      const chain = await this.#anyClient().turns.chain(id, asker, deadline);
       if (chain.kind === 'absent') this.#violations.push(`${id} was recorded and is absent`);
       else if (chain.records.at(-1)?.input.toString() !== id) {
         this.#violations.push(`${id} is read as something else`);
