--- a/src/cluster/greeter.ts
+++ b/src/cluster/greeter.ts
@@ -72,6 +72,7 @@
   constructor(options: GreeterOptions) {
     this.#options = options;
     this.#task = new PeriodicTask(options.clock, STARTING_MILLISECONDS, () => {
+      options.confirmation?.noteRunning();
       this.#confirmAsLeader();
       if (this.#isDue()) this.#greetSome();
     });
--- a/src/gateway/key-guard.ts
+++ b/src/gateway/key-guard.ts
@@ -51,7 +51,7 @@
     const identity = this.#identify(exchange, route.isPublic);
     const verdict = this.#judgeIdentity(identity);
     if (verdict.kind === 'serve') return this.#settle(exchange, identity, verdict);
-    if (verdict.kind === 'ask' || this.#awaitsFirstWord) await this.#awaitLeader(exchange);
+    if (verdict.kind === 'ask' || this.#awaitsWord) await this.#awaitLeader(exchange);
     const newer = this.#identify(exchange, route.isPublic);
     return this.#settle(exchange, newer, this.#judgeIdentity(newer));
   }
@@ -100,11 +100,12 @@
   }
 
   /**
-   * Whether keys are in use, and the leader was not heard since this process began. Its word is due at any
-   * moment then; a process that has lost the leader refuses at once.
+   * Whether keys are in use and the leader's word, which is missing, is due at any moment: after a start or
+   * a freeze. A process that has lost the leader refuses at once. Purpose: eight gateways that were frozen
+   * for six seconds refused 150 requests that had waited, some milliseconds before the word came.
    */
-  get #awaitsFirstWord(): boolean {
-    return !this.isConfirmed && this.#options.confirmation.ageMilliseconds === Infinity;
+  get #awaitsWord(): boolean {
+    return !this.isConfirmed && this.#options.confirmation.isDue;
   }
 
   /** Waits for the leader's next word; all callers that need it share it. */
