--- a/src/gateway/key-guard.ts
+++ b/src/gateway/key-guard.ts
@@ -50,8 +50,9 @@
   async admit(exchange: Exchange, route: Route): Promise<Refusal | undefined> {
     const identity = this.#identify(exchange, route.isPublic);
     const verdict = this.#judgeIdentity(identity);
-    if (verdict.kind === 'serve') return this.#settle(exchange, identity, verdict);
-    if (verdict.kind === 'ask' || this.#awaitsWord) await this.#awaitLeader(exchange);
+    const waits = identity.kind === 'team' ? this.#awaitsWord : verdict.kind === 'ask';
+    if (!waits) return this.#settle(exchange, identity, verdict);
+    await this.#awaitLeader(exchange);
     const newer = this.#identify(exchange, route.isPublic);
     return this.#settle(exchange, newer, this.#judgeIdentity(newer));
   }
--- a/src/gateway/tests/key-guard.test.ts
+++ b/src/gateway/tests/key-guard.test.ts
@@ -63,8 +63,8 @@
     expect(fixture.confirmation.waiting).toBe(0);
   });
 
-  it('refuses at once without a key', async () => {
-    const fixture = new GuardFixture();
+  it('refuses at once without a key, also while the leader is awaited', async () => {
+    const fixture = new GuardFixture(false);
     const refusal = await fixture.guard.admit(fixture.exchange(undefined), ROUTE);
     expect(refusal).toMatchObject({ status: 401, code: 'no_key' });
   });
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -10,17 +10,8 @@
   parseAddress,
 } from '../core';
 import { createPlacers } from '../decisions';
-import {
-  Forwarder,
-  GatewayServer,
-  KeyGuard,
-  QuotaGate,
-  Sender,
-  TurnHandler,
-  TurnPreparer,
-  type Wire,
-} from '../gateway';
-import { QuotaClient, QuotaHolder, type QuotaReport } from '../quotas';
+import { Forwarder, GatewayServer, Sender, TurnHandler, TurnPreparer, type Wire } from '../gateway';
+import { QuotaHolder } from '../quotas';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
   LoadExchange,
@@ -36,6 +27,7 @@
 import { NodeParts, type NodePartsOptions } from './node';
 import { PauseWatch } from './pause-watch';
 import type { NodeSettings } from './settings';
+import { createTeamParts } from './team-parts';
 
 /** Bytes of whole turns that a gateway keeps in memory, so that it need not fetch them. */
 const CHAIN_CACHE_BYTES = 24 * 1024 * 1024;
@@ -122,16 +114,8 @@
   const { 'availability-zone': availabilityZone } = settings.node;
   const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const durations = new UsualDurations();
-  const keyGuard = new KeyGuard({
-    routes: () => table,
-    newestVersion: () => configuration.number,
-    confirmation,
-    removalMilliseconds: settings.teams['key-removal-milliseconds'],
-    metrics,
-  });
-  const ask = (report: QuotaReport) => client.takeQuotas(report);
-  const quotas = new QuotaClient({ run: self.run, ask, clock, logger });
-  const quotaGate = new QuotaGate({ quotas, random });
+  const teamOptions = { parts, self, client, confirmation, routes: () => table };
+  const { keyGuard, quotas, quotaGate } = createTeamParts(teamOptions);
   const forwarder = new Forwarder({
     targets,
     chooser,
