Fresh state for a target that restarts under its former id

Cause: a server may restart under the same id. The directory kept the cached parts, failure share, pause and counts of the former run, and a delayed list or another writer could bring an earlier run back. Change: ListedTarget.bornAt; src/targets/incarnation.ts decides which run an entry names. The directory replaces the state on a later start, logs target-restarted, and ignores entries of an earlier start, also for a minute after the target was removed. A retired state is marked, for connections and requests in flight. Ruled out: a fresh state when the list states a start for the first time. During an upgrade this would drop the state of all targets at once; it applies only if the target was listed before that start.

--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -6,6 +6,8 @@
   type RandomSource,
   messageOf,
 } from '../core';
+import { FormerIncarnations } from './former-incarnations';
+import { compareIncarnations, selectTargets } from './incarnation';
 import { ServiceTargets } from './service-targets';
 import { TargetState } from './state';
 import type { ListedTarget, TargetSource } from './target';
@@ -33,6 +35,7 @@
 export class TargetDirectory implements Component {
   readonly #options: TargetDirectoryOptions;
   readonly #targets = new Map<string, TargetState>();
+  readonly #formerIncarnations = new FormerIncarnations();
   readonly #drainingListeners: ((state: TargetState) => void)[] = [];
   /** Targets that accept new requests, by service; rebuilt after each update of the list. */
   readonly #byService = new Map<string, ServiceTargets>();
@@ -91,40 +94,72 @@
     return this.#targets.values();
   }
 
-  /** The listener is called with each target that was removed from the list or starts draining. */
+  /**
+   * The listener is called with each target that was removed from the list, has restarted or starts
+   * draining.
+   */
   onDraining(listener: (state: TargetState) => void): void {
     this.#drainingListeners.push(listener);
   }
 
-  /** Replaces the targets by those of a complete list. */
+  /**
+   * Replaces the targets by those of a complete list. An entry of an earlier run of a target changes
+   * nothing: it comes from another writer or a delayed list.
+   */
   update(list: readonly ListedTarget[]): void {
     const { clock, logger } = this.#options;
     this.#loaded = true;
     this.#listUpdatedAt = clock.monotonic();
     this.#byService.clear();
-    const ids = new Set(list.map(({ id }) => id));
+    const targets = selectTargets(list);
+    const ids = new Set(targets.map(({ id }) => id));
     for (const [id, state] of this.#targets) {
       if (ids.has(id)) continue;
-      this.#targets.delete(id);
       logger.info({ event: 'target-gone', target: id, address: state.target.address });
-      this.#notifyDraining(state);
+      this.#formerIncarnations.record(state.target, clock.monotonic());
+      this.#retire(state);
     }
-    for (const target of list) {
-      const state = this.#targets.get(target.id);
-      if (state === undefined) {
-        this.#targets.set(target.id, new TargetState(target, clock));
-        const { id, service, address, draining } = target;
-        logger.info({ event: 'target-listed', target: id, service, address, draining });
-        continue;
-      }
-      const startsDraining = target.draining && !state.target.draining;
-      state.target = target;
-      if (!startsDraining) continue;
-      logger.info({ event: 'target-draining', target: target.id, address: target.address });
-      this.#notifyDraining(state);
+    for (const target of targets) this.#apply(target);
+  }
+
+  #apply(target: ListedTarget): void {
+    const { clock, logger } = this.#options;
+    const { id, service, address, draining, bornAt } = target;
+    const state = this.#targets.get(id);
+    const isEarlier = this.#formerIncarnations.isEarlier(target, clock.monotonic());
+    const order = state === undefined ? 'newer' : compareIncarnations(state.incarnation, bornAt);
+    if (isEarlier || order === 'older') {
+      logger.debug({ event: 'target-entry-outdated', target: id, address, born: bornAt });
+    } else if (state === undefined) {
+      logger.info({ event: 'target-listed', target: id, service, address, draining });
+      this.#targets.set(id, new TargetState(target, clock));
+    } else if (order === 'newer') {
+      const previousBorn = state.target.bornAt;
+      logger.info({ event: 'target-restarted', target: id, address, born: bornAt, previousBorn });
+      this.#retire(state);
+      this.#targets.set(id, new TargetState(target, clock));
+    } else {
+      this.#refresh(state, target);
     }
   }
 
+  /** Applies an entry of the same run. */
+  #refresh(state: TargetState, target: ListedTarget): void {
+    const startsDraining = target.draining && !state.target.draining;
+    const { bornAt = state.target.bornAt } = target;
+    state.target = bornAt === undefined ? target : { ...target, bornAt };
+    if (!startsDraining) return;
+    const { id, address } = target;
+    this.#options.logger.info({ event: 'target-draining', target: id, address });
+    this.#notifyDraining(state);
+  }
+
+  #retire(state: TargetState): void {
+    this.#targets.delete(state.target.id);
+    state.isRetired = true;
+    this.#notifyDraining(state);
+  }
+
   #notifyDraining(state: TargetState): void {
     for (const listener of this.#drainingListeners) listener(state);
   }
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -7,12 +7,13 @@
   isPausedAt,
   nextHealth,
 } from '../decisions';
+import type { KnownIncarnation } from './incarnation';
 import type { ListedTarget, PromptPart } from './target';
 
 /** Maximum number of prompt parts that are tracked per engine. */
 const CACHED_PART_LIMIT = 4096;
 
-/** State that this process keeps for one target. */
+/** State that this process keeps for one run of a target. */
 export class TargetState {
   readonly #clock: Clock;
   /** Cached tokens by part id, most recently used last. */
@@ -23,11 +24,19 @@
   inFlight = 0;
   /** Requests of the other gateways, as they last reported. */
   inFlightFromOthers = 0;
+  /** Whether the target was removed or has restarted; only requests in flight use the state. */
+  isRetired = false;
+  readonly #listedAt: number;
   #health = INITIAL_TARGET_HEALTH;
 
   constructor(target: ListedTarget, clock: Clock) {
     this.target = target;
     this.#clock = clock;
+    this.#listedAt = clock.now();
+  }
+
+  get incarnation(): KnownIncarnation {
+    return { bornAt: this.target.bornAt, listedAt: this.#listedAt };
   }
 
   get load(): number {
--- a/src/targets/target.ts
+++ b/src/targets/target.ts
@@ -1,6 +1,6 @@
 /** A server as the platform lists it. */
 export interface ListedTarget {
-  /** Identifies one run of the server; changes at each start. */
+  /** Identifies a server. A server may restart under its former id; see {@link bornAt}. */
   readonly id: string;
   readonly service: string;
   /** IP:port; may be reassigned to another server after this one has stopped. */
@@ -9,11 +9,13 @@
   readonly slots: number;
   /** Whether the server is shutting down and accepts no new requests. */
   readonly draining: boolean;
+  /** Start of the server, Unix milliseconds; undefined if the list does not state it. */
+  readonly bornAt?: number | undefined;
 }
 
 /** Reads the platform's list of servers. */
 export interface TargetSource {
-  /** Resolves with the complete list; rejects if it can't be read. */
+  /** Resolves with the complete list, one entry per id; rejects if it can't be read. */
   list(): Promise<readonly ListedTarget[]>;
 }
 
