Connections and the last target's cache belong to one run of a target

Cause: a connection that was in use while a target restarted returned to the pool of its id and address. lastTarget of a recorded turn is only an id, so that a conversation returned to a server whose cache is gone. Change: a connection of a retired state is closed when its request completes. PlacementRequest.lastTurnEndedAt carries the end of the last turn, and its cached tokens count only if the turn ended more than 1 s after the start of the target. Ruled out: the start as part of the pool's key; it would open all connections anew when the list begins to state starts.

--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -2,9 +2,9 @@
 import { ManualClock } from '../../core/tests/manual-clock';
 import { DEFAULT_DECISION_SWITCHES, type Refusal } from '../../decisions';
 import type { Route, RouteTable } from '../../routes';
-import { type TurnClient, TurnsUnavailableError } from '../../turns';
+import { type TurnClient, type TurnRecord, TurnsUnavailableError } from '../../turns';
 import type { Exchange } from '../exchange';
-import type { Forwarder } from '../forwarder';
+import type { ForwardRequest, Forwarder } from '../forwarder';
 import { QuotaGate } from '../quota-gate';
 import { TurnHandler } from '../turn-handler';
 import { TurnPreparer } from '../turn-preparer';
@@ -73,11 +73,17 @@
  * Handles a turn while 20 requests are in flight for 10 slots; `committedTokens`: tokens that the
  * program's other turns used or reserved.
  */
-async function handleInOverload(committedTokens: number, previousTurn?: string) {
+async function handleInOverload(
+  committedTokens: number,
+  previousTurn?: string,
+  chain: readonly Partial<TurnRecord>[] = [],
+) {
   const clock = new ManualClock();
   const refusals: Refusal[] = [];
   const settled: number[] = [];
-  const forward = jest.fn(() => Promise.resolve({ kind: 'caller-disconnected' }));
+  const forward = jest.fn<Promise<unknown>, [Pick<ForwardRequest, 'placement'>]>(() =>
+    Promise.resolve({ kind: 'caller-disconnected' }),
+  );
   const head = { id: 't', program: 'p', budget: 100, maxTokens: 10, parts: [], promptTokens: 5 };
   const exchange = {
     head: { ...head, previousTurn },
@@ -90,7 +96,7 @@
   } as unknown as Exchange;
   const turns = {
     reserve: () => Promise.resolve({ fits: true, committedTokens }),
-    chain: () => Promise.resolve({ kind: 'found', records: [] }),
+    chain: () => Promise.resolve({ kind: 'found', records: chain }),
     settle: (_program: string, _turn: string, tokens: number) => settled.push(tokens),
   } as unknown as TurnClient;
   const handler = new TurnHandler({
@@ -105,7 +111,8 @@
     metrics: new Metrics(),
   });
   await handler.handle(exchange, { ...ROUTE, services: [{ service: 's', weight: 1 }] }, TABLE);
-  return { refusals, settled, sent: forward.mock.calls.length };
+  const placement = forward.mock.calls[0]?.[0].placement;
+  return { refusals, settled, placement, sent: forward.mock.calls.length };
 }
 
 describe('a turn while the engines are overloaded', () => {
@@ -120,4 +127,10 @@
     expect(await handleInOverload(35)).toMatchObject({ refusals: [], sent: 1 });
     expect(await handleInOverload(0, 'earlier')).toMatchObject({ refusals: [], sent: 1 });
   });
+
+  it('is placed with the end of the turn that it continues, which may precede a restart', async () => {
+    const last = { input: Buffer.from('i'), output: Buffer.from('o'), target: 'e', endedAt: 77 };
+    const { placement } = await handleInOverload(0, 'earlier', [{ ...last, contextTokens: 4 }]);
+    expect(placement).toMatchObject({ lastTarget: 'e', cachedTokens: 4, lastTurnEndedAt: 77 });
+  });
 });
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -240,7 +240,7 @@
   const placement = placementOf(exchange);
   if (last === undefined) return placement;
   const cachedTokens = Math.min(last.contextTokens, placement.promptTokens);
-  return { ...placement, lastTarget: last.target, cachedTokens };
+  return { ...placement, lastTarget: last.target, cachedTokens, lastTurnEndedAt: last.endedAt };
 }
 
 function engineOf(
--- a/src/targets/chooser.ts
+++ b/src/targets/chooser.ts
@@ -1,6 +1,7 @@
 import type { Clock, RandomSource } from '../core';
 import type { EngineLoad, PlacementCandidate, PlacementPolicy } from '../decisions';
 import type { TargetDirectory } from './directory';
+import { holdsTurn } from './incarnation';
 import { PrefixCacheIndex } from './prefix-cache-index';
 import type { TargetState } from './state';
 import type { PromptPart } from './target';
@@ -12,6 +13,8 @@
   readonly lastTarget: string | undefined;
   /** Prompt tokens in the cache of `lastTarget`. */
   readonly cachedTokens: number;
+  /** Wall-clock time; a restart of `lastTarget` after it has cleared its cache. */
+  readonly lastTurnEndedAt?: number | undefined;
 }
 
 /** A selected target, with the inputs of the decision for the log. */
@@ -56,7 +59,7 @@
   /** Returns undefined if no target is available. */
   choose(request: ChoiceRequest): Placement | undefined {
     const { availabilityZone, clock, random, targets } = this.#options;
-    const { parts, promptTokens, lastTarget, cachedTokens } = request.placement;
+    const { parts, promptTokens, lastTarget } = request.placement;
     const now = clock.monotonic();
     const candidates: PlacementCandidate[] = [];
     for (const state of this.#candidates(request)) candidates.push(state.candidateAt(now, parts));
@@ -65,7 +68,7 @@
         availabilityZone,
         promptTokens,
         lastTarget,
-        lastTargetCachedTokens: cachedTokens,
+        lastTargetCachedTokens: this.#lastTargetCachedTokens(request.placement),
         candidates,
       },
       random,
@@ -96,10 +99,17 @@
     cacheCapacityTokens: number,
   ): void {
     state.recordParts(parts, generatedTokens, cacheCapacityTokens);
+    if (state.isRetired) return;
     const [first] = parts;
     if (first !== undefined) this.#prefixCaches.record(first.id, state.target.id);
   }
 
+  #lastTargetCachedTokens({ lastTarget, lastTurnEndedAt, cachedTokens }: PlacementRequest): number {
+    const last = lastTarget === undefined ? undefined : this.#options.targets.get(lastTarget);
+    if (last === undefined || lastTurnEndedAt === undefined) return cachedTokens;
+    return holdsTurn(last.target, lastTurnEndedAt) ? cachedTokens : 0;
+  }
+
   /** Targets to compare: the selected ones, or all of the service if none of these is available. */
   #candidates({
     service,
--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -20,7 +20,7 @@
    * end of the connection as complete even if the connection was reset.
    */
   hasFailed(): boolean;
-  /** Returns the connection to the pool after a complete response. */
+  /** Returns the connection to the pool after a complete response, unless the target has restarted. */
   release(): void;
   /** Closes the connection, whose state is unknown. */
   discard(): void;
@@ -40,7 +40,8 @@
   }
 
   /** Returns the most recently used idle connection, or opens one. */
-  acquire({ target }: TargetState): TargetConnection {
+  acquire(state: TargetState): TargetConnection {
+    const { target } = state;
     const key = `${target.id} ${target.address}`;
     const client = this.#idle.get(key)?.pop() ?? this.#open(key, target.address);
     let isReturned = false;
@@ -52,7 +53,8 @@
       release: () => {
         if (isReturned) return;
         isReturned = true;
-        if (!client.destroyed && !client.closed) this.#returnToPool(key, client);
+        if (state.isRetired) this.#close(client);
+        else if (!client.destroyed && !client.closed) this.#returnToPool(key, client);
       },
       discard: () => {
         if (isReturned) return;
@@ -62,7 +64,7 @@
     };
   }
 
-  /** Closes the idle connections of a draining or removed target. */
+  /** Closes the idle connections of a draining, removed or restarted target. */
   closeIdle({ target }: TargetState): void {
     const key = `${target.id} ${target.address}`;
     for (const client of this.#idle.get(key) ?? []) this.#close(client);
--- a/src/targets/tests/chooser.test.ts
+++ b/src/targets/tests/chooser.test.ts
@@ -147,6 +147,37 @@
   });
 });
 
+describe('placement of a turn whose last target has restarted', () => {
+  // With an idle engine beside the loaded last target, only the latter's cache decides.
+  function chooseAfterRestart(bornAt: number, lastTurnEndedAt: number) {
+    const shared = { clock: new ManualClock(), random: new SeededRandom(7) };
+    const targets = new TargetDirectory({
+      ...shared,
+      logger: createSilentLogger(),
+      source: { list: () => Promise.resolve([]) },
+    });
+    const listed = { service: 's', slots: 6, draining: false, availabilityZone: 'a', bornAt };
+    targets.update(['last', 'idle'].map((id) => ({ ...listed, id, address: `10.0.0.1:${id}` })));
+    const last = targets.get('last');
+    if (last !== undefined) last.inFlight = 5;
+    const chooser = new TargetChooser({ ...shared, targets, availabilityZone: 'a' });
+    const lastTurn = { lastTarget: 'last', cachedTokens: 5000, lastTurnEndedAt };
+    const placement = request({ promptTokens: 5400, ...lastTurn });
+    const choice = { service: 's', policy: POLICIES.engine, placement };
+    const chosen = chooser.choose({ ...choice, tried: new Set(), connectionLimit: 10 });
+    return chosen?.state.target.id;
+  }
+
+  it('does not count the cache of the former run', () => {
+    expect(chooseAfterRestart(20_000, 10_000)).toBe('idle');
+    expect(chooseAfterRestart(20_000, 20_500)).toBe('idle');
+  });
+
+  it('counts the cache of a turn that ended after the restart', () => {
+    expect(chooseAfterRestart(20_000, 30_000)).toBe('last');
+  });
+});
+
 describe('placement on a service that is large enough to be sampled', () => {
   function largeService(count: number) {
     const shared = { clock: CLOCK, random: new SeededRandom(7) };
