Read the target list entry by entry

Cause: one entry with a missing field, another type or an unknown state rejected the whole list, and no server was listed or removed until its writer had mended it. An address that is no URL would have failed the requests sent to it. Change: platform/instance-entry.ts decodes an entry into a target or an issue. Unusable entries are left out, logged when they change (target-entries-unusable) and counted (target_list_entries_unusable_total). One entry per id remains: one of a configured service first, then the latest start, then the first. Ruled out: leaving out servers of unknown services; a service that is configured later would have none until the next read. A recursive search for unreadable text exceeded the stack on a field nested 100,000 deep.

--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -5,6 +5,7 @@
   type Issue,
   LifeCycle,
   type Logger,
+  type Metrics,
   delay,
   formatIssue,
   parseAddress,
@@ -52,11 +53,19 @@
   | { readonly kind: 'valid'; readonly configuration: RouteConfiguration }
   | { readonly kind: 'invalid'; readonly issues: readonly Issue[] };
 
+export interface TargetSourceOptions {
+  readonly settings: NodeSettings;
+  /** Whether the configuration has a service; true for every service while it is unknown. */
+  readonly isKnownService: (service: string) => boolean;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
 /** A platform's headers, configuration format, target list and operator calls. */
 export interface PlatformAdapter {
   readonly wire: WireFormat;
   parseConfiguration(text: string): ParsedConfiguration;
-  createTargetSource(settings: NodeSettings, logger: Logger): TargetSource;
+  createTargetSource(options: TargetSourceOptions): TargetSource;
   createOperatorHandler(
     client: ClusterClient,
     logger: Logger,
@@ -109,10 +118,11 @@
   const service = context.createClusterService(self, clusterServiceOptions);
   const client = context.createClusterClient(self, heartbeatSender, service);
 
+  const isKnownService = (name: string) => table === undefined || table.service(name) !== undefined;
   const source = new SharedTargetSource({
     self,
     directory,
-    source: platform.createTargetSource(settings, logger),
+    source: platform.createTargetSource({ settings, isKnownService, logger, metrics }),
     peers,
     callsPerSecond: settings['target-list']['calls-per-second'],
     sharesReading: switches['list-reader'],
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -6,6 +6,7 @@
 } from './chooser';
 export { type TargetConnection, TargetConnectionPool } from './connection-pool';
 export { TargetDirectory } from './directory';
+export { selectTargets } from './incarnation';
 export { type LoadContract, LoadExchange } from './load-exchange';
 export { SharedTargetSource, type TargetListContract } from './shared-source';
 export { TargetState } from './state';
--- a/src/targets/tests/list-changes.test.ts
+++ b/src/targets/tests/list-changes.test.ts
@@ -9,6 +9,7 @@
   availabilityZone: fc.constantFrom('z1', 'z2'),
   slots: fc.constantFrom(6, 7),
   draining: fc.boolean(),
+  bornAt: fc.option(fc.integer({ min: 1, max: 3 }), { nil: undefined }),
 });
 
 const lists = fc.uniqueArray(listed, { selector: ({ id }) => id }).map(sortTargets);
