Placement prefers targets with an idle connection, by what a new one costs the host

Nothing kept requests on the targets that a gateway is connected to. Change: the settings tell a process its share of a core (processor-share); from it follows what a connection costs, and both placement policies add that to targets without an idle connection. Without the setting nothing changes. Switch connection-reuse. Ruled out: a fixed subset of targets for each gateway, which would keep free targets from a gateway in a burst.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -9,6 +9,7 @@
   checkKey,
   isConfirmationValid,
 } from './key-check';
+export { newConnectionMilliseconds } from './connection-cost';
 export { enginePriority } from './engine-priority';
 export { type EngineLoad, refuseInOverload } from './overload';
 export {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -15,6 +15,8 @@
   readonly isPaused: boolean;
   /** Prompt tokens in the target's cache, estimated from what this process has sent to it. */
   readonly cachedTokens: number;
+  /** Whether this gateway has an idle connection to the target. */
+  readonly hasIdleConnection: boolean;
 }
 
 export interface PlacementInput {
@@ -25,6 +27,8 @@
   readonly lastTarget: string | undefined;
   /** Prompt tokens in the cache of `lastTarget`. */
   readonly lastTargetCachedTokens: number;
+  /** Time that opening a connection takes on this host; milliseconds. */
+  readonly newConnectionMilliseconds: number;
   readonly candidates: readonly PlacementCandidate[];
 }
 
@@ -55,7 +59,7 @@
 
 /**
  * Selects the engine with the lowest estimated completion time: prefill of uncached tokens,
- * contention, expected failures and cross-zone latency. A conversation moves to another engine only
+ * contention, expected failures, cross-zone latency and the time to open a connection. A conversation moves to another engine only
  * if contention costs more than the prefill there.
  */
 export class EnginePlacementPolicy implements PlacementPolicy {
@@ -78,7 +82,8 @@
       uncachedTokens / PREFILL_TOKENS_PER_MILLISECOND +
       candidate.load * CONTENTION_MILLISECONDS_PER_REQUEST +
       failures * FAILURE_PENALTY_MILLISECONDS +
-      (isSameZone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS)
+      (isSameZone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS) +
+      (candidate.hasIdleConnection ? 0 : input.newConnectionMilliseconds)
     );
   }
 
@@ -93,12 +98,15 @@
 /** Cost of a target in another zone, as a share of its slots. */
 const CROSS_ZONE_SLOT_SHARE = 0.2;
 
+/** Converts a delay into a share of the slots, in the ratio of the two costs of another zone. */
+const SLOT_SHARE_PER_MILLISECOND = CROSS_ZONE_SLOT_SHARE / CROSS_ZONE_PENALTY_MILLISECONDS;
+
 /** Cost of a target that fails every request, as a share of its slots. */
 const FAILURE_SLOT_SHARE = 2;
 
 /**
- * Selects the target with the largest share of free slots, with penalties for failures and for
- * targets in another zone.
+ * Selects the target with the largest share of free slots, with penalties for failures, for targets
+ * in another zone and for opening a connection.
  */
 export class SlotPlacementPolicy implements PlacementPolicy {
   readonly #switches: DecisionSwitches;
@@ -111,12 +119,19 @@
     return selectLowestCost(input.candidates, (candidate) => this.#cost(candidate, input), random);
   }
 
-  #cost(candidate: PlacementCandidate, { availabilityZone }: PlacementInput): number {
+  #cost(candidate: PlacementCandidate, input: PlacementInput): number {
+    const { availabilityZone, newConnectionMilliseconds } = input;
     const switches = this.#switches;
     const isSameZone = !switches.zones || candidate.availabilityZone === availabilityZone;
     const failures = switches['failure-shares'] ? candidate.failureShare : 0;
     const load = candidate.load / Math.max(1, candidate.slots);
-    return load + failures * FAILURE_SLOT_SHARE + (isSameZone ? 0 : CROSS_ZONE_SLOT_SHARE);
+    const connectMilliseconds = candidate.hasIdleConnection ? 0 : newConnectionMilliseconds;
+    return (
+      load +
+      failures * FAILURE_SLOT_SHARE +
+      (isSameZone ? 0 : CROSS_ZONE_SLOT_SHARE) +
+      connectMilliseconds * SLOT_SHARE_PER_MILLISECOND
+    );
   }
 }
 
--- a/src/decisions/switches.ts
+++ b/src/decisions/switches.ts
@@ -24,6 +24,8 @@
     pauses: z.boolean().default(true),
     /** Exchange the number of requests in flight per target with the other gateways. */
     'shared-loads': z.boolean().default(true),
+    /** Prefer targets with an idle connection; effective only with `processor-share`. */
+    'connection-reuse': z.boolean().default(true),
     /** Refuse new programs while the engines are overloaded. */
     'overload-refusals': z.boolean().default(true),
     /** Retry at another target. */
--- a/src/decisions/tests/placement.test.ts
+++ b/src/decisions/tests/placement.test.ts
@@ -19,6 +19,7 @@
     failureShare: 0,
     isPaused: false,
     cachedTokens: 0,
+    hasIdleConnection: true,
     ...overrides,
   };
 }
@@ -30,7 +31,7 @@
 ): string | undefined {
   const { engine } = createPlacementPolicies({ ...DEFAULT_DECISION_SWITCHES, ...switches });
   const prompt = { promptTokens: 4000, lastTarget: 'last', lastTargetCachedTokens: 3900 };
-  const input = { availabilityZone: 'a', ...prompt, candidates };
+  const input = { availabilityZone: 'a', ...prompt, newConnectionMilliseconds: 0, candidates };
   return engine.place(input, RANDOM)?.candidate.id;
 }
 
@@ -90,6 +91,7 @@
       promptTokens: 0,
       lastTarget: undefined,
       lastTargetCachedTokens: 0,
+      newConnectionMilliseconds: 0,
       candidates,
     };
     const ids = [1, 2, 3, 4].map(() => engine.place(input, RANDOM)?.candidate.id);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -9,7 +9,7 @@
   formatIssue,
   parseAddress,
 } from '../core';
-import { createPlacementPolicies } from '../decisions';
+import { createPlacementPolicies, newConnectionMilliseconds } from '../decisions';
 import {
   Forwarder,
   GatewayServer,
@@ -126,8 +126,13 @@
     connections.closeIdle(state);
   });
   const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
-  const { 'availability-zone': availabilityZone } = settings.node;
-  const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
+  const { 'availability-zone': availabilityZone, 'processor-share': processorShare } =
+    settings.node;
+  const connectionCost =
+    processorShare === undefined || !switches['connection-reuse']
+      ? undefined
+      : { connections, newConnectionMilliseconds: newConnectionMilliseconds(processorShare) };
+  const chooser = new TargetChooser({ targets, availabilityZone, connectionCost, clock, random });
   const durations = new DurationAverages();
   const teamAccessControlOptions = { context, self, client, confirmation, routes: () => table };
   const { keyGuard, quotas, quotaGate } = createTeamAccessControl(teamAccessControlOptions);
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -23,6 +23,8 @@
     'stop-seconds': z.number().positive(),
     /** Folder on the host's disk; absent if it has none. */
     'data-folder': z.string().optional(),
+    /** Share of a core that this process may use; from it follows what its own work costs callers. */
+    'processor-share': z.number().positive().optional(),
     'log-level': z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   }),
   listen: z.strictObject({
--- a/src/targets/chooser.ts
+++ b/src/targets/chooser.ts
@@ -1,5 +1,6 @@
 import type { Clock, RandomSource } from '../core';
 import type { EngineLoad, PlacementCandidate, PlacementPolicy } from '../decisions';
+import type { TargetConnectionPool } from './connection-pool';
 import type { TargetDirectory } from './directory';
 import { PrefixCacheIndex } from './prefix-cache-index';
 import type { TargetState } from './state';
@@ -40,10 +41,18 @@
 export interface TargetChooserOptions {
   readonly targets: TargetDirectory;
   readonly availabilityZone: string;
+  /** Without it, no target is preferred for its idle connections. */
+  readonly connectionCost?: ConnectionCost | undefined;
   readonly clock: Clock;
   readonly random: RandomSource;
 }
 
+/** What opening a connection costs this gateway. */
+export interface ConnectionCost {
+  readonly connections: Pick<TargetConnectionPool, 'hasIdle'>;
+  readonly newConnectionMilliseconds: number;
+}
+
 /** Collects the candidates of a service and lets a placement policy select one of them. */
 export class TargetChooser {
   readonly #options: TargetChooserOptions;
@@ -55,17 +64,21 @@
 
   /** Returns undefined if no target is available. */
   choose(request: ChoiceRequest): Placement | undefined {
-    const { availabilityZone, clock, random, targets } = this.#options;
+    const { availabilityZone, connectionCost, clock, random, targets } = this.#options;
     const { parts, promptTokens, lastTarget, cachedTokens } = request.placement;
     const now = clock.monotonic();
     const candidates: PlacementCandidate[] = [];
-    for (const state of this.#candidates(request)) candidates.push(state.candidateAt(now, parts));
+    for (const state of this.#candidates(request)) {
+      const hasIdleConnection = connectionCost?.connections.hasIdle(state) ?? true;
+      candidates.push(state.candidateAt(now, parts, hasIdleConnection));
+    }
     const decision = request.policy.place(
       {
         availabilityZone,
         promptTokens,
         lastTarget,
         lastTargetCachedTokens: cachedTokens,
+        newConnectionMilliseconds: connectionCost?.newConnectionMilliseconds ?? 0,
         candidates,
       },
       random,
--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -62,6 +62,11 @@
     };
   }
 
+  /** Whether a request to the target would not have to open a connection. */
+  hasIdle({ target }: TargetState): boolean {
+    return (this.#idle.get(`${target.id} ${target.address}`)?.length ?? 0) > 0;
+  }
+
   /** Closes the idle connections of a draining or removed target. */
   closeIdle({ target }: TargetState): void {
     const key = `${target.id} ${target.address}`;
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -48,7 +48,11 @@
   }
 
   /** Describes the target at `now` for the placement of a prompt with these parts. */
-  candidateAt(now: number, parts: readonly PromptPart[]): PlacementCandidate {
+  candidateAt(
+    now: number,
+    parts: readonly PromptPart[],
+    hasIdleConnection: boolean,
+  ): PlacementCandidate {
     return {
       id: this.target.id,
       availabilityZone: this.target.availabilityZone,
@@ -57,6 +61,7 @@
       failureShare: failureShareAt(this.#health, now),
       isPaused: isPausedAt(this.#health, now),
       cachedTokens: parts.length === 0 ? 0 : this.cachedTokens(parts),
+      hasIdleConnection,
     };
   }
 
--- a/src/targets/tests/chooser.test.ts
+++ b/src/targets/tests/chooser.test.ts
@@ -32,7 +32,8 @@
         promptTokens: prompt.promptTokens,
         lastTarget: prompt.lastTarget,
         lastTargetCachedTokens: prompt.cachedTokens,
-        candidates: states.map((state) => state.candidateAt(CLOCK.monotonic(), parts)),
+        newConnectionMilliseconds: 0,
+        candidates: states.map((state) => state.candidateAt(CLOCK.monotonic(), parts, true)),
       },
       RANDOM,
     );
