--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -64,6 +64,11 @@
     };
   }
 
+  /** Whether a request to the target would not have to open a connection. */
+  hasIdle({ target }: TargetState): boolean {
+    return (this.#idle.get(`${target.id} ${target.address}`)?.length ?? 0) > 0;
+  }
+
   /** Closes the idle connections of a draining, removed or restarted target. */
   closeIdle({ target }: TargetState): void {
     const key = `${target.id} ${target.address}`;
