Selection of the coordinator and resending in classes of their own

Cause: a second exchange between gateways (demand of teams) needs the same coordinator and the same exclusion of an unresponsive one as the load exchange. Change: CoordinatorSelector and SentMessages are taken out of LoadExchange, behavior unchanged. Ruled out: one selector per exchange. The demand exchange sends nothing while engines are idle, so it could not tell a frozen coordinator from one without demand.

--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -21,6 +21,7 @@
 import { QuotaAllocator } from '../quotas';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
+  CoordinatorSelector,
   LoadExchange,
   SharedTargetSource,
   TargetChooser,
@@ -125,7 +126,8 @@
   targets.onDraining((state) => {
     connections.closeIdle(state);
   });
-  const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
+  const coordinators = new CoordinatorSelector({ self, directory, peers, clock, logger });
+  const loads = new LoadExchange({ self, directory, targets, coordinators, peers, clock });
   const { 'availability-zone': availabilityZone } = settings.node;
   const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const durations = new DurationAverages();
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -5,6 +5,7 @@
   TargetChooser,
 } from './chooser';
 export { type TargetConnection, TargetConnectionPool } from './connection-pool';
+export { CoordinatorSelector } from './coordinator-selector';
 export { TargetDirectory } from './directory';
 export { type LoadContract, LoadExchange } from './load-exchange';
 export { SharedTargetSource, type TargetListContract } from './shared-source';
--- a/src/targets/load-exchange.ts
+++ b/src/targets/load-exchange.ts
@@ -1,8 +1,9 @@
 import type { NodeDirectory, NodeInfo } from '../cluster';
-import type { CancelTimer, Clock, Component, Logger } from '../core';
+import type { CancelTimer, Clock, Component } from '../core';
 import type { RpcClient, CastHandlers, RpcContract } from '../rpc';
-import { selectCoordinator } from './coordinator';
+import type { CoordinatorSelector } from './coordinator-selector';
 import type { TargetDirectory } from './directory';
+import { SentMessages } from './sent-messages';
 
 /** Minimum interval between reports; short compared with the duration of a turn. */
 const MINIMUM_INTERVAL_MILLISECONDS = 20;
@@ -21,12 +22,6 @@
 /** Time after which a received report expires. */
 const REPORT_VALIDITY_MILLISECONDS = 1500;
 
-/** Time without a report after which a coordinator is excluded, and duration of the exclusion. */
-const COORDINATOR_TIMEOUT = {
-  withoutReportMilliseconds: 600,
-  exclusionMilliseconds: 2000,
-} as const;
-
 /** Requests in flight, by target id. */
 export type Loads = readonly (readonly [target: string, requests: number])[];
 
@@ -54,9 +49,9 @@
   readonly self: NodeInfo;
   readonly directory: NodeDirectory;
   readonly targets: TargetDirectory;
-  readonly peers: Pick<RpcClient<LoadContract>, 'cast' | 'isConnected'>;
+  readonly coordinators: CoordinatorSelector;
+  readonly peers: Pick<RpcClient<LoadContract>, 'cast'>;
   readonly clock: Clock;
-  readonly logger: Logger;
 }
 
 interface ReceivedReport {
@@ -64,12 +59,6 @@
   readonly receivedAt: number;
 }
 
-/** Last report sent to a receiver. */
-interface SentMessage {
-  readonly text: string;
-  readonly sentAt: number;
-}
-
 /**
  * Reports the requests in flight from this gateway to a coordinator and receives the sum of all
  * other gateways. The coordinator sums the reports and sends each gateway the sum of the others.
@@ -79,15 +68,19 @@
   readonly #options: LoadExchangeOptions;
   /** Latest report of each gateway, while this gateway is the coordinator. */
   readonly #reports = new Map<string, ReceivedReport>();
-  readonly #lastSent = new Map<string, SentMessage>();
-  readonly #excludedUntil = new Map<string, number>();
+  readonly #sentMessages: SentMessages;
   #otherLoads: ReceivedReport = { inFlight: [], receivedAt: -Infinity };
-  #coordinator: string | undefined;
-  #coordinatorSince = 0;
   #cancelTimer: CancelTimer = () => undefined;
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
+    this.#sentMessages = new SentMessages({
+      resendMilliseconds: RESEND_INTERVAL_MILLISECONDS,
+      clock: options.clock,
+    });
+    options.coordinators.onChange(() => {
+      this.#sentMessages.clear();
+    });
   }
 
   start(): void {
@@ -99,13 +92,13 @@
   }
 
   get casts(): CastHandlers<LoadContract> {
-    const { clock } = this.#options;
+    const { clock, coordinators } = this.#options;
     return {
       'targets.load': ({ gateway, inFlight }) => {
         this.#reports.set(gateway, { inFlight, receivedAt: clock.monotonic() });
       },
       'targets.load-elsewhere': ({ coordinator, inFlight }) => {
-        if (coordinator !== this.#coordinator) return;
+        if (!coordinators.acceptFrom(coordinator)) return;
         this.#otherLoads = { inFlight, receivedAt: clock.monotonic() };
         this.#apply();
       },
@@ -122,8 +115,8 @@
   }
 
   #exchange(): void {
-    const { self, clock, peers } = this.#options;
-    const coordinator = this.#selectCoordinator();
+    const { self, clock, coordinators, peers } = this.#options;
+    const coordinator = coordinators.select();
     const own = this.#ownLoads();
     if (coordinator.name === self.name) {
       this.#reports.set(self.name, { inFlight: own, receivedAt: clock.monotonic() });
@@ -135,31 +128,6 @@
     peers.cast(coordinator.address, 'targets.load', { gateway: self.name, inFlight: own });
   }
 
-  #selectCoordinator(): NodeInfo {
-    const { clock, logger } = this.#options;
-    const now = clock.monotonic();
-    this.#excludeUnresponsiveCoordinator(now);
-    const excluded = new Set<string>();
-    for (const [name, until] of this.#excludedUntil) if (until > now) excluded.add(name);
-    const coordinator = selectCoordinator({ ...this.#options, excluded });
-    if (coordinator.name !== this.#coordinator) {
-      logger.info({ event: 'load-coordinator', coordinator: coordinator.name });
-      this.#coordinator = coordinator.name;
-      this.#coordinatorSince = now;
-      this.#lastSent.clear();
-    }
-    return coordinator;
-  }
-
-  /** Excludes a coordinator that sends nothing: a suspended process keeps its connections open. */
-  #excludeUnresponsiveCoordinator(now: number): void {
-    const { self } = this.#options;
-    if (this.#coordinator === undefined || this.#coordinator === self.name) return;
-    const lastReceivedAt = Math.max(this.#otherLoads.receivedAt, this.#coordinatorSince);
-    if (now - lastReceivedAt < COORDINATOR_TIMEOUT.withoutReportMilliseconds) return;
-    this.#excludedUntil.set(this.#coordinator, now + COORDINATOR_TIMEOUT.exclusionMilliseconds);
-  }
-
   #ownLoads(): Loads {
     const loads: (readonly [string, number])[] = [];
     for (const { target, inFlight } of this.#options.targets.all()) {
@@ -190,15 +158,8 @@
     }
   }
 
-  /** Whether the loads differ from the last report to the receiver, or that report is due again. */
   #needsSending(receiver: string, loads: Loads): boolean {
-    const now = this.#options.clock.monotonic();
-    const text = JSON.stringify(loads);
-    const sent = this.#lastSent.get(receiver);
-    const isDue = sent === undefined || now - sent.sentAt >= RESEND_INTERVAL_MILLISECONDS;
-    if (!isDue && sent.text === text) return false;
-    this.#lastSent.set(receiver, { text, sentAt: now });
-    return true;
+    return this.#sentMessages.recordIfDue(receiver, JSON.stringify(loads));
   }
 
   #expireOtherLoads(): void {
--- a/src/targets/tests/load-exchange.test.ts
+++ b/src/targets/tests/load-exchange.test.ts
@@ -2,7 +2,7 @@
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import type { LoadContract } from '..';
-import { LoadExchange, TargetDirectory } from '..';
+import { CoordinatorSelector, LoadExchange, TargetDirectory } from '..';
 
 /** Gateways in one process; messages arrive immediately unless sender or receiver is suspended. */
 class GatewayGroup {
@@ -36,7 +36,8 @@
       this.#gateways.get(to)?.loads.casts[name]?.(body);
     };
     const peers = { cast, isConnected: () => true };
-    const loads = new LoadExchange({ ...shared, self, directory, targets, peers });
+    const coordinators = new CoordinatorSelector({ ...shared, self, directory, peers });
+    const loads = new LoadExchange({ ...shared, self, directory, targets, coordinators, peers });
     this.#gateways.set(self.name, { targets, loads });
   }
 
