Exchange of the demand for engines by team and priority

Cause: engine load by target does not say whose requests fill the engines. Change: EngineDemandTracker counts the requests of a gateway in flight by team and priority.

--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -6,7 +6,9 @@
 } from './chooser';
 export { type TargetConnection, TargetConnectionPool } from './connection-pool';
 export { CoordinatorSelector } from './coordinator-selector';
+export { type DemandContract, DemandExchange } from './demand-exchange';
 export { TargetDirectory } from './directory';
+export { type DemandEntry, type EngineDemand, EngineDemandTracker } from './engine-demand';
 export { type LoadContract, LoadExchange } from './load-exchange';
 export { SharedTargetSource, type TargetListContract } from './shared-source';
 export { TargetState } from './state';
