Fair shares of full engines: pure decisions

Cause: in the 8 s in which one team sent 5.5 times its usual load, 61% of the programs of the other teams were lost or late, since the engine queues and the overload limit did not distinguish teams (docs/design/hard-load.md). Change: computeEngineShares (weighted max-min), enginePriority with shares, refuseInOverload with fairShare and the code team_over_share, the switch fair-shares. No caller passes shares yet, so nothing changes in a gateway. Ruled out: subtraction of weights from a running total, which leaves rounding errors as weight for teams of weight 0; a property test found that case.

--- a/bench/tests/ablation.test.ts
+++ b/bench/tests/ablation.test.ts
@@ -18,6 +18,7 @@
     const names = allSets().map(({ name }) => name);
     expect(names[0]).toBe('usual');
     expect(names).toContain('without-zones');
+    expect(names).toContain('without-fair-shares');
     expect(names).toContain('round-robin');
     expect(new Set(names).size).toBe(names.length);
   });
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -9,8 +9,19 @@
   checkKey,
   isConfirmationValid,
 } from './key-check';
-export { enginePriority } from './engine-priority';
-export { type EngineLoad, refuseInOverload } from './overload';
+export { type PriorityShares, enginePriority } from './engine-priority';
+export {
+  type EngineSharesInput,
+  type TeamDemand,
+  type TeamShare,
+  computeEngineShares,
+} from './engine-shares';
+export {
+  type EngineLoad,
+  type FairShareLoad,
+  type OverloadInput,
+  refuseInOverload,
+} from './overload';
 export {
   EnginePlacementPolicy,
   type PlacementCandidate,
--- a/src/decisions/refusal.ts
+++ b/src/decisions/refusal.ts
@@ -16,6 +16,7 @@
   | 'no_target'
   | 'not_run'
   | 'overloaded'
+  | 'team_over_share'
   | 'outcome_unknown'
   | 'time_over';
 
--- a/src/decisions/switches.ts
+++ b/src/decisions/switches.ts
@@ -26,6 +26,8 @@
     'shared-loads': z.boolean().default(true),
     /** Refuse new programs while the engines are overloaded. */
     'overload-refusals': z.boolean().default(true),
+    /** Give teams fair shares of full engines; effective only with teams. */
+    'fair-shares': z.boolean().default(true),
     /** Retry at another target. */
     retries: z.boolean().default(true),
     /** Send a hedged request when a repeatable call is late. */
--- a/src/decisions/tests/overload.test.ts
+++ b/src/decisions/tests/overload.test.ts
@@ -35,3 +35,57 @@
     expect(refuseInOverload({ ...OVERLOADED, load: 0, slots: 0 }, RANDOM)).toBeUndefined();
   });
 });
+
+describe('refuseInOverload with fair shares', () => {
+  const WITHIN_SHARE = { team: 't', requests: 5, share: 5, isOverShare: false };
+  const OVER_SHARE = { team: 't', requests: 45, share: 30, isOverShare: true };
+  const FAIR_SHARE = { teamShare: WITHIN_SHARE, ahead: 74, averageMilliseconds: 800 };
+  const FLOODED = { ...OVERLOADED, load: 179, fairShare: FAIR_SHARE };
+
+  describe('of a team within its share', () => {
+    it('admits a new program until as many requests as 1.25 per slot come before it', () => {
+      expect(refuseInOverload(FLOODED, RANDOM)).toBeUndefined();
+      const fairShare = { ...FAIR_SHARE, ahead: 75 };
+      expect(refuseInOverload({ ...FLOODED, fairShare }, RANDOM)?.code).toBe('overloaded');
+    });
+
+    it('refuses a new program from 3 requests per slot of any priority', () => {
+      expect(refuseInOverload({ ...FLOODED, load: 180 }, RANDOM)?.code).toBe('overloaded');
+    });
+
+    it('treats a team without known requests alike', () => {
+      const fairShare = { ...FAIR_SHARE, teamShare: undefined };
+      expect(refuseInOverload({ ...FLOODED, fairShare }, RANDOM)).toBeUndefined();
+    });
+  });
+
+  describe('of a team over its share', () => {
+    const fairShare = { ...FAIR_SHARE, teamShare: OVER_SHARE, ahead: 0 };
+    const INPUT = { ...OVERLOADED, load: 60, fairShare };
+
+    it('refuses a new program from 1 request per slot and admits it below', () => {
+      expect(refuseInOverload(INPUT, RANDOM)).toMatchObject({
+        ...{ status: 503, code: 'team_over_share' },
+        message: expect.stringContaining('was not run') as string,
+      });
+      expect(refuseInOverload({ ...INPUT, load: 59 }, RANDOM)).toBeUndefined();
+    });
+
+    it('never refuses a further turn of a running program', () => {
+      const input = { ...INPUT, load: 600, startsProgram: false };
+      expect(refuseInOverload(input, RANDOM)).toBeUndefined();
+    });
+
+    it.each([
+      ['the time in which its excess drains', 45, 0.4, 0.6],
+      ['at least 0.3 s', 31, 0.3, 0.45],
+      ['at most 1 s', 600, 1, 1],
+    ])('announces %s, with jitter', (_, requests, shortest, longest) => {
+      const teamShare = { ...OVER_SHARE, requests };
+      const input = { ...INPUT, fairShare: { ...fairShare, teamShare } };
+      const seconds = refuseInOverload(input, RANDOM)?.retryAfterSeconds;
+      expect(seconds).toBeGreaterThanOrEqual(shortest);
+      expect(seconds).toBeLessThanOrEqual(longest);
+    });
+  });
+});
--- a/src/decisions/tests/placement.test.ts
+++ b/src/decisions/tests/placement.test.ts
@@ -111,4 +111,18 @@
     const priorities = [0, 1, 2, 7].map((priority) => enginePriority({ priority }, undefined));
     expect(priorities).toEqual([2, 5, 8, 9]);
   });
+
+  it('with fair shares, puts every team over its share behind all teams within theirs', () => {
+    const routes = [{ priority: 0 }, { priority: 1 }, { priority: 2 }];
+    const teams = [undefined, { priority: 0 }, { priority: 1 }, { priority: 3 }];
+    const prioritiesOf = (isOverShare: boolean) =>
+      teams.map((team) => routes.map((route) => enginePriority(route, team, { isOverShare })));
+    expect(prioritiesOf(false)).toEqual([
+      [2, 5, 7],
+      [0, 1, 2],
+      [3, 4, 5],
+      [7, 7, 7],
+    ]);
+    expect(new Set(prioritiesOf(true).map(String))).toEqual(new Set(['8,9,9']));
+  });
 });
