Gateways admit and order turns at engines by the fair shares of teams

Cause: one team at 5.5 times its usual load fills the queues of the engines, and first turns of all teams are refused alike. Change: EngineAdmission decides on first turns and priorities, and counts the turns in flight; FairShares turns the totals of all gateways into shares, once for each update. The overload decision moves out of TurnHandler, and the wiring into src/nodes/engine-sharing.ts. Shares apply only with teams, and not without shared loads or priorities at engines. Ruled out: slots of one service for the shares, since the totals do not name the service; less urgent requests are counted in proportion to the slots instead.

--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,5 @@
+export { EngineAdmission } from './engine-admission';
+export { FairShares } from './fair-shares';
 export { Forwarder, type ForwarderOptions } from './forwarder';
 export { withoutConnectionHeaders } from './headers';
 export { GatewayServer } from './server';
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -1,8 +1,10 @@
 import { Metrics, SeededRandom } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import { DEFAULT_DECISION_SWITCHES, type Refusal } from '../../decisions';
+import { DEFAULT_DECISION_SWITCHES, type EngineLoad, type Refusal } from '../../decisions';
 import type { Route, RouteTable } from '../../routes';
+import { EngineDemandTracker } from '../../targets';
 import { type TurnClient, TurnsUnavailableError } from '../../turns';
+import { EngineAdmission } from '../engine-admission';
 import type { Exchange } from '../exchange';
 import type { Forwarder } from '../forwarder';
 import { QuotaGate } from '../quota-gate';
@@ -21,6 +23,17 @@
 
 const TABLE = { configuration: { limits: { bodyBytes: 1000 } } } as unknown as RouteTable;
 
+function createEngineAdmission(load: EngineLoad): EngineAdmission {
+  return new EngineAdmission({
+    chooser: { loadOf: () => load },
+    tracker: new EngineDemandTracker(),
+    fairShares: undefined,
+    durations: { averageOf: () => 600 },
+    switches: DEFAULT_DECISION_SWITCHES,
+    random: new SeededRandom(1),
+  });
+}
+
 /** Handles one turn while no store answers; returns the refusal and the timeout of the stores. */
 async function refuseWithoutStores(reachesQuorum: boolean) {
   const clock = new ManualClock();
@@ -45,9 +58,8 @@
     preparer: new TurnPreparer({ turns, quorumMonitor: { reachesQuorum }, clock }),
     quotaGate: WITHOUT_QUOTAS,
     turns,
-    chooser: { recordParts: () => undefined, loadOf: () => ({ load: 0, slots: 1 }) },
-    random: new SeededRandom(1),
-    switches: DEFAULT_DECISION_SWITCHES,
+    engineAdmission: createEngineAdmission({ load: 0, slots: 1 }),
+    chooser: { recordParts: () => undefined },
     clock,
     metrics: new Metrics(),
   });
@@ -98,9 +110,8 @@
     preparer: new TurnPreparer({ turns, quorumMonitor: { reachesQuorum: true }, clock }),
     quotaGate: WITHOUT_QUOTAS,
     turns,
-    chooser: { recordParts: () => undefined, loadOf: () => ({ load: 20, slots: 10 }) },
-    random: new SeededRandom(1),
-    switches: DEFAULT_DECISION_SWITCHES,
+    engineAdmission: createEngineAdmission({ load: 20, slots: 10 }),
+    chooser: { recordParts: () => undefined },
     clock,
     metrics: new Metrics(),
   });
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,16 +1,12 @@
-import { type Clock, MartenbayError, type Metrics, type RandomSource } from '../core';
-import {
-  type DecisionSwitches,
-  type Refusal,
-  enginePriority,
-  refuseInOverload,
-} from '../decisions';
+import { type Clock, MartenbayError, type Metrics } from '../core';
+import type { Refusal } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
 import { teamScopedId } from '../teams';
 import type { Placement, PlacementRequest, TargetChooser } from '../targets';
 import type { TurnClient } from '../turns';
 import type { Attempt } from './attempt';
 import { BODY_TOO_LARGE, placementOf } from './call-handler';
+import type { EngineAdmission } from './engine-admission';
 import { EventDataCollector } from './event-data-collector';
 import type { Exchange } from './exchange';
 import type { ForwardOutcome, Forwarder } from './forwarder';
@@ -25,10 +21,9 @@
   readonly preparer: TurnPreparer;
   readonly quotaGate: Pick<QuotaGate, 'requestAdmission'>;
   readonly turns: Pick<TurnClient, 'record'>;
-  readonly chooser: Pick<TargetChooser, 'recordParts' | 'loadOf'>;
-  readonly switches: DecisionSwitches;
+  readonly engineAdmission: Pick<EngineAdmission, 'findRefusal' | 'run'>;
+  readonly chooser: Pick<TargetChooser, 'recordParts'>;
   readonly clock: Clock;
-  readonly random: RandomSource;
   readonly metrics: Metrics;
 }
 
@@ -94,47 +89,39 @@
 
   #findRefusal(turn: Turn, preparation: PreparedTurn): Refusal | undefined {
     if (preparation.kind === 'refused') return preparation.refusal;
-    return this.#findOverloadRefusal(turn, preparation.startsProgram);
-  }
-
-  #findOverloadRefusal({ exchange, route }: Turn, isFirstTurn: boolean): Refusal | undefined {
-    const { chooser, switches, random } = this.#options;
-    if (!isFirstTurn || !switches['overload-refusals']) return undefined;
-    const services = route.services.map(({ service }) => service);
-    const { load, slots } = chooser.loadOf(services);
-    exchange.recordDecision({ step: 'overload', load, slots });
-    const service = services.join(', ');
-    return refuseInOverload({ service, load, slots, startsProgram: isFirstTurn }, random);
+    return this.#options.engineAdmission.findRefusal(turn, preparation.startsProgram);
   }
 
   async #send(turn: Turn, chain: Chain, admission: QuotaAdmission): Promise<void> {
     const { exchange, route, table } = turn;
-    const { forwarder, switches } = this.#options;
+    const { forwarder, engineAdmission } = this.#options;
     const output = new EventDataCollector();
     let attempt: Attempt | undefined;
     let lastPlacement: Placement | undefined;
     exchange.response.on('drain', () => attempt?.resume());
-    const outcome = await forwarder.forward({
+    const request = {
       exchange,
       route,
       table,
       body: buildBody(chain, turn.input),
       placement: placementAfter(exchange, chain),
-      priority: switches['engine-priorities'] ? enginePriority(route, exchange.team) : undefined,
-      onAttempt: (started, placement) => {
+      onAttempt: (started: Attempt, placement: Placement) => {
         attempt = started;
         lastPlacement = placement;
       },
       receiver: {
-        begin: (status, headers) => {
+        begin: (status: number, headers: readonly string[]) => {
           exchange.beginResponse(status, headers);
         },
-        write: (chunk) => {
+        write: (chunk: Buffer) => {
           output.push(chunk);
           return exchange.response.write(chunk);
         },
       },
-    });
+    };
+    const outcome = await engineAdmission.run(turn, (priority) =>
+      forwarder.forward({ ...request, priority }),
+    );
     if (outcome.kind === 'refused' && outcome.isNotRun) admission.refund();
     await this.#finish(turn, outcome, output, lastPlacement);
   }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -21,8 +21,6 @@
 import { QuotaAllocator } from '../quotas';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
-  CoordinatorSelector,
-  LoadExchange,
   SharedTargetSource,
   TargetChooser,
   TargetConnectionPool,
@@ -31,6 +29,7 @@
   DurationAverages,
 } from '../targets';
 import { ChainCache, QuorumMonitor, TurnClient } from '../turns';
+import { createEngineSharing } from './engine-sharing';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeContext, type NodeContextOptions } from './node-context';
 import { PauseMonitor } from './pause-monitor';
@@ -126,11 +125,12 @@
   targets.onDraining((state) => {
     connections.closeIdle(state);
   });
-  const coordinators = new CoordinatorSelector({ self, directory, peers, clock, logger });
-  const loads = new LoadExchange({ self, directory, targets, coordinators, peers, clock });
   const { 'availability-zone': availabilityZone } = settings.node;
   const chooser = new TargetChooser({ targets, availabilityZone, clock, random });
   const durations = new DurationAverages();
+  const engineSharing = createEngineSharing({
+    ...{ context, self, targets, chooser, durations, routes: () => table },
+  });
   const teamAccessControlOptions = { context, self, client, confirmation, routes: () => table };
   const { keyGuard, quotas, quotaGate } = createTeamAccessControl(teamAccessControlOptions);
   const forwarder = new Forwarder({
@@ -161,8 +161,9 @@
   };
   const turns = new TurnClient(turnClientOptions);
   const preparer = new TurnPreparer({ turns, quorumMonitor, clock });
+  const { engineAdmission } = engineSharing;
   const turnHandler = new TurnHandler({
-    ...{ forwarder, preparer, quotaGate, turns, chooser, switches, clock, random, metrics },
+    ...{ forwarder, preparer, quotaGate, engineAdmission, turns, chooser, clock, metrics },
   });
   let isDraining = false;
   const isServing = () => table !== undefined && targets.isLoaded && quorumMonitor.reachesQuorum;
@@ -200,7 +201,7 @@
   if (replicaComponents !== undefined) lifeCycle.add('cluster-state', replicaComponents.replica);
   lifeCycle.add(
     'rpc-server',
-    context.createRpcServer([service.calls, source.calls], [service.casts, loads.casts]),
+    context.createRpcServer([service.calls, source.calls], [service.casts, ...engineSharing.casts]),
   );
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('heartbeat', heartbeatSender);
@@ -209,7 +210,7 @@
   lifeCycle.add('quorum-monitor', quorumMonitor);
   lifeCycle.add('targets', targets);
   lifeCycle.add('quotas', quotas);
-  if (switches['shared-loads']) lifeCycle.add('loads', loads);
+  engineSharing.addTo(lifeCycle);
   addHttpEndpoint(context, lifeCycle, settings.listen.readiness, (_request, response) => {
     response.statusCode = isReady() ? 200 : 503;
     response.end();
--- a/src/targets/chooser.ts
+++ b/src/targets/chooser.ts
@@ -1,6 +1,7 @@
 import type { Clock, RandomSource } from '../core';
 import type { EngineLoad, PlacementCandidate, PlacementPolicy } from '../decisions';
 import type { TargetDirectory } from './directory';
+import { totalLoadOf } from './engine-load';
 import { PrefixCacheIndex } from './prefix-cache-index';
 import type { TargetState } from './state';
 import type { PromptPart } from './target';
@@ -79,13 +80,11 @@
   /** Total load of the targets that are not paused; of a large service, only of a sample. */
   loadOf(services: readonly string[]): EngineLoad {
     const { targets, availabilityZone, random } = this.#options;
-    const states = services
-      .flatMap((service) => targets.ofService(service).select([], availabilityZone, random))
-      .filter(({ isPaused }) => !isPaused);
-    return {
-      load: states.reduce((sum, state) => sum + state.load, 0),
-      slots: states.reduce((sum, { target }) => sum + target.slots, 0),
-    };
+    return totalLoadOf(
+      services.flatMap((service) =>
+        targets.ofService(service).select([], availabilityZone, random),
+      ),
+    );
   }
 
   /** Records the prompt parts and generated tokens that an engine has added to its cache. */
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -9,6 +9,7 @@
 export { type DemandContract, DemandExchange } from './demand-exchange';
 export { TargetDirectory } from './directory';
 export { type DemandEntry, type EngineDemand, EngineDemandTracker } from './engine-demand';
+export { totalLoadOf } from './engine-load';
 export { type LoadContract, LoadExchange } from './load-exchange';
 export { SharedTargetSource, type TargetListContract } from './shared-source';
 export { TargetState } from './state';
