--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -10,8 +10,19 @@
   isConfirmationValid,
 } from './key-check';
 export { newConnectionMilliseconds } from './connection-cost';
-export { enginePriority } from './engine-priority';
-export { type EngineLoad, refuseInOverload } from './overload';
+export { type PriorityShares, enginePriority } from './engine-priority';
+export {
+  type EngineSharesInput,
+  type TeamDemand,
+  type TeamShare,
+  computeEngineShares,
+} from './engine-shares';
+export {
+  type EngineLoad,
+  type FairShareLoad,
+  type OverloadInput,
+  refuseInOverload,
+} from './overload';
 export {
   EnginePlacementPolicy,
   type PlacementCandidate,
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -22,7 +22,6 @@
 import { QuotaAllocator } from '../quotas';
 import { type RouteConfiguration, RouteTable } from '../routes';
 import {
-  LoadExchange,
   SharedTargetSource,
   TargetChooser,
   TargetConnectionPool,
@@ -31,6 +30,7 @@
   DurationAverages,
 } from '../targets';
 import { ChainCache, QuorumMonitor, TurnClient } from '../turns';
+import { createEngineSharing } from './engine-sharing';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeContext, type NodeContextOptions } from './node-context';
 import { PauseMonitor } from './pause-monitor';
@@ -135,7 +135,6 @@
   targets.onDraining((state) => {
     connections.closeIdle(state);
   });
-  const loads = new LoadExchange({ self, directory, targets, peers, clock, logger });
   const { 'availability-zone': availabilityZone, 'processor-share': processorShare } =
     settings.node;
   const connectionCost =
@@ -144,6 +143,9 @@
       : { connections, newConnectionMilliseconds: newConnectionMilliseconds(processorShare) };
   const chooser = new TargetChooser({ targets, availabilityZone, connectionCost, clock, random });
   const durations = new DurationAverages();
+  const engineSharing = createEngineSharing({
+    ...{ context, self, targets, chooser, durations, routes: () => table },
+  });
   const teamAccessControlOptions = { context, self, client, confirmation, routes: () => table };
   const { keyGuard, quotas, quotaGate } = createTeamAccessControl(teamAccessControlOptions);
   const forwarder = new Forwarder({
@@ -174,8 +176,9 @@
   };
   const turns = new TurnClient(turnClientOptions);
   const preparer = new TurnPreparer({ turns, quorumMonitor, clock });
+  const { engineAdmission } = engineSharing;
   const turnHandler = new TurnHandler({
-    ...{ forwarder, preparer, quotaGate, turns, chooser, switches, clock, random, metrics },
+    ...{ forwarder, preparer, quotaGate, engineAdmission, turns, chooser, clock, metrics },
   });
   let isDraining = false;
   const isServing = () => table !== undefined && targets.isLoaded && quorumMonitor.reachesQuorum;
@@ -213,7 +216,7 @@
   if (replicaComponents !== undefined) lifeCycle.add('cluster-state', replicaComponents.replica);
   lifeCycle.add(
     'rpc-server',
-    context.createRpcServer([service.calls, source.calls], [service.casts, loads.casts]),
+    context.createRpcServer([service.calls, source.calls], [service.casts, ...engineSharing.casts]),
   );
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('heartbeat', heartbeatSender);
@@ -222,7 +225,7 @@
   lifeCycle.add('quorum-monitor', quorumMonitor);
   lifeCycle.add('targets', targets);
   lifeCycle.add('quotas', quotas);
-  if (switches['shared-loads']) lifeCycle.add('loads', loads);
+  engineSharing.addTo(lifeCycle);
   addHttpEndpoint(context, lifeCycle, settings.listen.readiness, (_request, response) => {
     response.statusCode = isReady() ? 200 : 503;
     response.end();
