Fair shares replayed in bench/worst; over share is told from a burst

Change: bench/worst has teams, engine priorities, the delayed exchange of demand, the loads team-flood and burst-of-all-teams and the policy without-fair-shares. Ruled out: ahead from the delayed totals by priority; comparison with the ratio of all teams instead of the others, which hides a dominant flood; a lower limit than 1 per slot for teams over their share, no clear effect.

--- a/bench/worst/engine.ts
+++ b/bench/worst/engine.ts
@@ -27,6 +27,8 @@
 export interface EngineRequest {
   readonly parts: readonly PromptPart[];
   readonly outputTokens: number;
+  /** 0 is the most urgent; requests of equal priority are admitted in the order of arrival. */
+  readonly priority: number;
   readonly onEnd: () => void;
 }
 
@@ -50,6 +52,8 @@
   /** Multiplies the duration of each step. */
   stepTimeFactor = 1;
   prefilledTokens = 0;
+  /** Maximum of the requests that waited for a slot at once. */
+  mostWaiting = 0;
 
   constructor(engineParameters: EngineParameters, clock: SimulatedClock) {
     this.#parameters = engineParameters;
@@ -57,7 +61,9 @@
   }
 
   send(request: EngineRequest): void {
-    this.#waiting.push(request);
+    const next = this.#waiting.findIndex(({ priority }) => priority > request.priority);
+    this.#waiting.splice(next < 0 ? this.#waiting.length : next, 0, request);
+    this.mostWaiting = Math.max(this.mostWaiting, this.#waiting.length);
     this.#step();
   }
 
--- a/bench/worst/fleet.ts
+++ b/bench/worst/fleet.ts
@@ -2,7 +2,9 @@
 import {
   type DecisionSwitches,
   type Refusal,
+  countRequestsAhead,
   createPlacementPolicies,
+  enginePriority,
   refuseInOverload,
 } from '../../src/decisions';
 import {
@@ -12,10 +14,18 @@
   type TargetState,
 } from '../../src/targets';
 import type { SimulatedClock } from './simulated-clock';
+import { SimulatedDemand, type TeamShares } from './demand';
 import { type EngineParameters, SimulatedEngine } from './engine';
+import type { SimulatedTeam } from './teams';
 
 const SERVICE = 'engines';
 
+/** Priority at the engines of turns without a team; any value, since they are all equal. */
+const PRIORITY_WITHOUT_TEAM = 5;
+
+/** Weight of a new duration in the average duration of a turn. */
+const DURATION_WEIGHT = 0.05;
+
 const ZONES = ['a', 'b', 'c'];
 
 /** Round-trip time between a gateway and an engine. */
@@ -30,6 +40,7 @@
   /** Interval at which gateways exchange their numbers of requests in flight. */
   readonly loadIntervalMilliseconds: number;
   readonly seed: number;
+  readonly teams: readonly SimulatedTeam[];
 }
 
 export interface SimulatedTurn {
@@ -39,6 +50,8 @@
   readonly outputTokens: number;
   /** Whether this is the first turn of its program. */
   readonly startsProgram: boolean;
+  readonly team: SimulatedTeam | undefined;
+  readonly routePriority: number;
   readonly onEnd: (target: string) => void;
   /** Called if the turn is refused, with the time after which to retry. */
   readonly onRefused: (retryAfterMilliseconds: number) => void;
@@ -58,6 +71,9 @@
   readonly #gateways: readonly SimulatedGateway[];
   readonly #placementPolicies;
   readonly #random: RandomSource;
+  /** Undefined without fair shares. */
+  readonly #demand: SimulatedDemand | undefined;
+  #averageMilliseconds = 0;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -70,6 +86,7 @@
       this.#createGateway(index),
     );
     if (options.switches['shared-loads']) this.#shareLoads();
+    this.#demand = createDemand(options);
   }
 
   /** Removes engines from the target list of all gateways; their requests in flight still complete. */
@@ -84,7 +101,8 @@
     const { clock } = this.#options;
     const gateway = this.#gateways[Math.floor(this.#random.fraction() * this.#gateways.length)];
     if (gateway === undefined) return;
-    const refusal = this.#refuse(gateway, turn);
+    const shares = turn.team === undefined ? undefined : this.#demand?.shares;
+    const refusal = this.#refuse(gateway, turn, shares);
     if (refusal !== undefined) {
       turn.onRefused((refusal.retryAfterSeconds ?? 0) * 1000);
       return;
@@ -100,6 +118,9 @@
     });
     if (choice === undefined) return;
     const { state } = choice;
+    const priority = priorityOf(turn, shares);
+    const startedAt = clock.now();
+    this.#countDemand(turn, 1);
     state.inFlight += 1;
     const isSameZone = state.target.availabilityZone === gateway.availabilityZone;
     const roundTrip = isSameZone
@@ -107,6 +128,9 @@
       : ROUND_TRIP_MILLISECONDS.otherZone;
     const complete = () => {
       state.inFlight -= 1;
+      this.#countDemand(turn, -1);
+      this.#averageMilliseconds +=
+        (clock.now() - startedAt - this.#averageMilliseconds) * DURATION_WEIGHT;
       gateway.chooser.recordParts(
         state,
         parts,
@@ -117,14 +141,31 @@
     };
     clock.after(roundTrip / 2, () => {
       const onEnd = () => clock.after(roundTrip / 2, complete);
-      this.engines.get(state.target.id)?.send({ parts, outputTokens, onEnd });
+      this.engines.get(state.target.id)?.send({ parts, outputTokens, priority, onEnd });
     });
   }
 
-  #refuse({ chooser }: SimulatedGateway, { startsProgram }: SimulatedTurn): Refusal | undefined {
+  #refuse(
+    { chooser }: SimulatedGateway,
+    turn: SimulatedTurn,
+    shares: TeamShares | undefined,
+  ): Refusal | undefined {
     if (!this.#options.switches['overload-refusals']) return undefined;
     const load = chooser.loadOf([SERVICE]);
-    return refuseInOverload({ service: SERVICE, ...load, startsProgram }, this.#random);
+    const fairShare = shares && {
+      teamShare: turn.team && shares.get(turn.team.name),
+      ahead: countRequestsAhead({ load: load.load, shares }),
+      averageMilliseconds: this.#averageMilliseconds,
+    };
+    const { startsProgram } = turn;
+    return refuseInOverload(
+      { service: SERVICE, ...load, startsProgram, ...(fairShare && { fairShare }) },
+      this.#random,
+    );
+  }
+
+  #countDemand(turn: SimulatedTurn, change: number): void {
+    if (turn.team !== undefined) this.#demand?.add(turn.team.name, change);
   }
 
   #createGateway(index: number): SimulatedGateway {
@@ -170,6 +211,21 @@
   }
 }
 
+function createDemand(options: FleetOptions): SimulatedDemand | undefined {
+  const { clock, engines, engineParameters, switches, teams } = options;
+  if (!switches['fair-shares'] || teams.length === 0) return undefined;
+  return new SimulatedDemand(clock, engines * engineParameters.slots, teams);
+}
+
+function priorityOf(
+  { team, routePriority }: SimulatedTurn,
+  shares: TeamShares | undefined,
+): number {
+  if (team === undefined) return PRIORITY_WITHOUT_TEAM;
+  const isOverShare = shares?.get(team.name)?.isOverShare === true;
+  return enginePriority({ priority: routePriority }, team, shares && { isOverShare });
+}
+
 function zoneAt(index: number): string {
   return ZONES[index % ZONES.length] ?? '';
 }
--- a/bench/worst/loads.ts
+++ b/bench/worst/loads.ts
@@ -1,17 +1,22 @@
 import type { EngineParameters } from './engine';
 import { REFERENCE_ENGINE } from './engine';
 import type { Fleet } from './fleet';
-import type { Workload } from './workload';
+import { LARGE_TEAM, REFERENCE_TEAMS, type SimulatedTeam } from './teams';
+import type { TallyFilter, Workload } from './workload';
 
 /** A worst-case load in simulated time. */
 export interface LoadScenario {
   readonly name: string;
   readonly description: string;
   readonly engineParameters: EngineParameters;
-  /** Multiple of the base rate of new programs at a simulated time; milliseconds. */
-  readonly rateFactor: (now: number) => number;
+  /** Multiple of the base rate of new programs at a simulated time, in milliseconds, of a team. */
+  readonly rateFactor: (now: number, team?: SimulatedTeam) => number;
   /** Time during which programs start. */
   readonly durationMilliseconds: number;
+  /** Teams that the programs belong to; their usual rates replace the base rate. */
+  readonly teams?: readonly SimulatedTeam[];
+  /** Programs that are also counted by themselves, by the time of their start and their team. */
+  readonly counted?: TallyFilter;
   /** Events at a simulated time in milliseconds. */
   readonly events?: readonly {
     readonly at: number;
@@ -21,6 +26,11 @@
 
 const DURATION_MILLISECONDS = 12_000;
 
+/** Start and end of the loads from teams; milliseconds. */
+const FLOOD = { from: 4000, until: 11_000 } as const;
+
+const FLOOD_DURATION_MILLISECONDS = 14_000;
+
 function factorBetween(from: number, to: number, factor: number): LoadScenario['rateFactor'] {
   return (now) => (now >= from && now < to ? factor : 1);
 }
@@ -108,4 +118,24 @@
     rateFactor: () => 1.2,
     durationMilliseconds: DURATION_MILLISECONDS,
   },
+  {
+    name: 'team-flood',
+    description:
+      'one team sends 5.5 times its usual load for seven seconds; counts the other teams',
+    engineParameters: REFERENCE_ENGINE,
+    rateFactor: (now, team) =>
+      team === LARGE_TEAM ? factorBetween(FLOOD.from, FLOOD.until, 5.5)(now) : 1,
+    durationMilliseconds: FLOOD_DURATION_MILLISECONDS,
+    teams: REFERENCE_TEAMS,
+    counted: { ...FLOOD, includes: (team) => team !== LARGE_TEAM },
+  },
+  {
+    name: 'burst-of-all-teams',
+    description: 'all teams send twice their usual load for seven seconds; counts that time',
+    engineParameters: REFERENCE_ENGINE,
+    rateFactor: factorBetween(FLOOD.from, FLOOD.until, 2),
+    durationMilliseconds: FLOOD_DURATION_MILLISECONDS,
+    teams: REFERENCE_TEAMS,
+    counted: { ...FLOOD, includes: () => true },
+  },
 ];
--- a/bench/worst/run.ts
+++ b/bench/worst/run.ts
@@ -43,6 +43,7 @@
 
 export const POLICIES: readonly Policy[] = [
   createPolicy('usual'),
+  createPolicy('without-fair-shares', { 'fair-shares': false }),
   createPolicyWithoutRefusals('without-refusals'),
   {
     ...createPolicyWithoutRefusals('old-loads'),
@@ -59,6 +60,10 @@
 export interface SimulationResult extends ProgramTally {
   readonly load: string;
   readonly policy: string;
+  /** The programs that the load scenario counts by themselves. */
+  readonly counted: ProgramTally | undefined;
+  /** Maximum of the requests that waited for a slot of one engine. */
+  readonly mostWaiting: number;
   /** Prompt tokens that the engines processed for each program on average. */
   readonly prefilledTokensPerProgram: number;
 }
@@ -70,7 +75,7 @@
   seed: number,
 ): SimulationResult {
   const clock = new SimulatedClock();
-  const { engineParameters } = load;
+  const { engineParameters, teams } = load;
   const sizes = { engines: ENGINE_COUNT, gateways: GATEWAY_COUNT };
   const fleet = new Fleet({
     ...sizes,
@@ -79,12 +84,17 @@
     switches,
     loadIntervalMilliseconds,
     seed,
+    teams: teams ?? [],
   });
   const workload = new Workload({ clock, fleet, engineParameters, kinds: REFERENCE_KINDS, seed });
-  workload.startAtRate(
-    load.durationMilliseconds,
-    (now) => BASE_PROGRAMS_PER_SECOND * load.rateFactor(now),
-  );
+  for (const team of teams ?? [undefined]) {
+    const rate = team?.programsPerSecond ?? BASE_PROGRAMS_PER_SECOND;
+    workload.startAtRate(
+      load.durationMilliseconds,
+      (now) => rate * load.rateFactor(now, team),
+      team,
+    );
+  }
   for (const { at, apply } of load.events ?? []) {
     clock.after(at, () => {
       apply(fleet, workload);
@@ -100,14 +110,18 @@
     load: load.name,
     policy: name,
     ...tally,
+    counted: load.counted && workload.tally(load.counted),
+    mostWaiting: Math.max(...[...fleet.engines.values()].map((engine) => engine.mostWaiting)),
     prefilledTokensPerProgram: Math.round(prefilledTokens / tally.started),
   };
 }
 
 /** Prints a Markdown table of all loads under all policies; values are means over the seeds. */
 export function benchWorst(seeds: readonly number[]): void {
-  process.stdout.write('| Load | Policy | On time | p50 | p99 | Prefilled tokens per program |\n');
-  process.stdout.write('| --- | --- | --- | --- | --- | --- |\n');
+  process.stdout.write(
+    '| Load | Policy | On time | Counted | p50 | p99 | Prefilled tokens per program |\n',
+  );
+  process.stdout.write('| --- | --- | --- | --- | --- | --- | --- |\n');
   for (const load of LOAD_SCENARIOS) {
     for (const policy of POLICIES) {
       const results = seeds.map((seed) => simulate(load, policy, seed));
@@ -119,11 +133,16 @@
 function formatRow(results: readonly SimulationResult[]): string {
   const mean = (read: (result: SimulationResult) => number) =>
     results.reduce((sum, result) => sum + read(result), 0) / results.length;
+  const counted = results.flatMap((result) => result.counted ?? []);
+  const countedShare =
+    counted.reduce((sum, { onTime }) => sum + onTime, 0) /
+    counted.reduce((sum, { started }) => sum + started, 0);
   const [first] = results;
   const cells = [
     first?.load,
     first?.policy,
     `${(mean(({ onTime, started }) => onTime / started) * 100).toFixed(1)}%`,
+    counted.length === 0 ? '' : `${(countedShare * 100).toFixed(1)}%`,
     mean(({ p50 }) => p50).toFixed(2),
     mean(({ p99 }) => p99).toFixed(2),
     Math.round(mean(({ prefilledTokensPerProgram }) => prefilledTokensPerProgram)),
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -15,6 +15,7 @@
   type TeamDemand,
   type TeamShare,
   computeEngineShares,
+  countRequestsAhead,
 } from './engine-shares';
 export {
   type EngineLoad,
--- a/src/decisions/overload.ts
+++ b/src/decisions/overload.ts
@@ -35,7 +35,7 @@
 export interface FairShareLoad {
   /** Undefined if no request of the team is known. */
   readonly teamShare: TeamShare | undefined;
-  /** Requests in flight of the same or a more urgent priority. */
+  /** Requests in flight without the excess of teams over their share; see `countRequestsAhead`. */
   readonly ahead: number;
   /** Average duration of a turn; milliseconds. */
   readonly averageMilliseconds: number;
@@ -54,8 +54,9 @@
  * proceed. Running programs take precedence, since too many concurrent programs evict each other's
  * prompts from the engine caches.
  *
- * With fair shares, requests of less urgent priorities do not count against a team within its
- * share, since the engines admit its turn before them.
+ * With fair shares, the excess of other teams does not count against a team within its share, since
+ * the engines admit its turn first. Requests of less urgent routes count, although engines admit
+ * them later too: their programs have begun, and new programs in their place would make them late.
  */
 export function refuseInOverload(input: OverloadInput, random: RandomSource): Refusal | undefined {
   const { slots, startsProgram, fairShare } = input;
