--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -16,6 +16,7 @@
   type TeamDemand,
   type TeamShare,
   computeEngineShares,
+  countRequestsAhead,
 } from './engine-shares';
 export {
   type EngineLoad,
