--- a/src/targets/demand-exchange.ts
+++ b/src/targets/demand-exchange.ts
@@ -21,7 +21,7 @@
 const VALIDITY_MILLISECONDS = 1500;
 
 /**
- * Requests in flight per slot from which on demand is exchanged. Shares matter only from 1 on; the
+ * Requests in flight per slot from which on demand is exchanged. Shares matter from 0.8 on; the
  * margin lets all gateways have reported by then.
  */
 const BUSY_REQUESTS_PER_SLOT = 0.7;
