Requests ahead of a first turn: the load without the excess of teams over their share

Cause: refuseInOverload is measured with countRequestsAhead; the gateway subtracted the requests of less urgent priorities in the totals. Result: 43 tests of src/gateway and the platform test pass.

--- a/src/gateway/engine-admission.ts
+++ b/src/gateway/engine-admission.ts
@@ -4,6 +4,7 @@
   type EngineLoad,
   type FairShareLoad,
   type Refusal,
+  countRequestsAhead,
   enginePriority,
   refuseInOverload,
 } from '../decisions';
@@ -81,26 +82,21 @@
   }
 
   /**
-   * The totals are older than the load, so the requests ahead are the load without the less urgent
-   * requests. These are assumed to be spread evenly over all engines, since the load may be that of
-   * one of several services or of a sample.
+   * The load may be that of one of several services or of a sample, while the shares are those of
+   * all engines; requests are assumed to be spread evenly over the slots.
    */
   #fairShareLoad(
     turn: Turn,
     { load, slots }: EngineLoad,
     { shares }: CurrentShares,
   ): FairShareLoad {
-    const { route, exchange } = turn;
+    const { route } = turn;
     const teamShare = shares.byTeam.get(teamNameOf(turn));
-    const lessUrgent =
-      teamShare?.isOverShare === true
-        ? 0
-        : shares.countLessUrgent(enginePriority(route, exchange.team));
-    const part = Math.min(1, slots / shares.slots);
+    const scale = slots > 0 ? Math.max(1, shares.slots / slots) : 1;
     const service = route.services[0]?.service ?? '';
     return {
       teamShare,
-      ahead: Math.max(0, load - lessUrgent * part),
+      ahead: countRequestsAhead({ load: load * scale, shares: shares.byTeam }) / scale,
       averageMilliseconds: this.#options.durations.averageOf(service),
     };
   }
--- a/src/gateway/share-snapshot.ts
+++ b/src/gateway/share-snapshot.ts
@@ -5,9 +5,6 @@
 /** Name under which the requests of callers without a team have a share. */
 export const WITHOUT_TEAM = '';
 
-/** Priority as which all requests of teams over their share count; they are sent as 8 or 9. */
-const OVER_SHARE_PRIORITY = 8;
-
 export interface ShareSnapshotOptions {
   readonly entries: readonly DemandEntry[];
   readonly teams: readonly Team[];
@@ -19,8 +16,6 @@
 export class ShareSnapshot {
   readonly slots: number;
   readonly byTeam: ReadonlyMap<string, TeamShare>;
-  /** Requests in flight, by the priority at the engines. */
-  readonly #requestsByPriority: readonly number[];
 
   constructor({ entries, teams, slots }: ShareSnapshotOptions) {
     this.slots = slots;
@@ -35,23 +30,6 @@
       weight: weightOf(team),
     }));
     this.byTeam = computeEngineShares({ demands, slots });
-    this.#requestsByPriority = this.#sumByPriority(entries);
-  }
-
-  /** Requests in flight that engines admit after a turn of a team within its share. */
-  countLessUrgent(priority: number): number {
-    const next = Math.min(priority, OVER_SHARE_PRIORITY - 1) + 1;
-    return this.#requestsByPriority.slice(next).reduce((sum, requests) => sum + requests, 0);
-  }
-
-  #sumByPriority(entries: readonly DemandEntry[]): readonly number[] {
-    const sums = Array.from({ length: OVER_SHARE_PRIORITY + 1 }, () => 0);
-    for (const [team, priority, requests] of entries) {
-      const isOverShare = this.byTeam.get(team)?.isOverShare === true;
-      const index = isOverShare ? OVER_SHARE_PRIORITY : Math.min(priority, OVER_SHARE_PRIORITY - 1);
-      sums[index] = (sums[index] ?? 0) + requests;
-    }
-    return sums;
   }
 }
 
