Reservations carry a mark for writes to all stores

Cause: a reservation that goes to three stores instead of five needs to tell concurrent turns when it was written to all stores instead (docs/design/hard-load.md, part 2). Copies merge in any order: a settled one is final, a mark is kept, also once settled. Lines without the mark have the same bytes as before; a former build ignores the fourth field. A turn whose write to one replica is delayed can see a settled spread reservation there without having seen a third turn at the other one.

--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -18,6 +18,8 @@
   readonly turn: string;
   /** Upper bound on the tokens that the turn generates. */
   readonly most: number;
+  /** Whether the reservation is written to all stores; stores of a former build ignore it. */
+  readonly spread?: true;
 }
 
 export interface SettleNotice {
--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -25,6 +25,19 @@
   /** The maximum that the turn may generate; once settled, what it generated. */
   readonly tokens: number;
   readonly settled: boolean;
+  /**
+   * Set if the reservation was written to all stores instead of the program's preferred replicas
+   * only; a turn that sees it reads a second time. Kept once settled, since a concurrent turn may
+   * have passed another replica before. Absent on stores of a former build.
+   */
+  readonly spread?: true;
+}
+
+/** Merges two copies of a reservation, in either order: a settled one is final, a mark is kept. */
+export function mergeReservations(existing: Reservation, added: Reservation): Reservation {
+  const latest = added.settled && !existing.settled ? added : existing;
+  const isSpread = existing.spread === true || added.spread === true;
+  return isSpread && latest.spread !== true ? { ...latest, spread: true } : latest;
 }
 
 export type TurnRow =
@@ -54,13 +67,15 @@
 type BudgetLine = readonly [
   program: string,
   changedAt: number,
-  reservations: readonly (readonly [turn: string, tokens: number, settled: boolean])[],
+  reservations: readonly ReservationEntry[],
 ];
 
+type ReservationEntry = readonly [turn: string, tokens: number, settled: boolean, spread?: true];
+
 /** Encodes a row as one line of JSON; binary fields are Latin-1 text, one character per byte. */
 export function encodeRow(row: TurnRow): string {
   if (row.kind === 'budget') {
-    const entries = row.reservations.map(({ turn, tokens, settled }) => [turn, tokens, settled]);
+    const entries = row.reservations.map(encodeReservation);
     return JSON.stringify(['budget', row.program, row.changedAt, entries]);
   }
   const { record } = row;
@@ -90,10 +105,18 @@
 }
 
 function decodeBudget([program, changedAt, entries]: BudgetLine): TurnRow {
-  const reservations = entries.map(([turn, tokens, settled]) => ({ turn, tokens, settled }));
+  const reservations = entries.map(decodeReservation);
   return { kind: 'budget', program, changedAt, reservations };
 }
 
+function encodeReservation({ turn, tokens, settled, spread }: Reservation): ReservationEntry {
+  return spread === true ? [turn, tokens, settled, spread] : [turn, tokens, settled];
+}
+
+function decodeReservation([turn, tokens, settled, spread]: ReservationEntry): Reservation {
+  return spread === true ? { turn, tokens, settled, spread } : { turn, tokens, settled };
+}
+
 function decodeTurn(fields: TurnLine): TurnRow {
   const [id, program, previous, tokens, contextTokens, endedAt, retentionSeconds, ...rest] = fields;
   const [target, input, output] = rest;
--- a/src/turns/reservation-budget.ts
+++ b/src/turns/reservation-budget.ts
@@ -1,5 +1,5 @@
 import type { ReservationsAnswer } from './contract';
-import type { Reservation } from './records';
+import { type Reservation, mergeReservations } from './records';
 
 export interface ReserveOptions {
   readonly program: string;
@@ -42,7 +42,7 @@
   return { kind: committedBefore + maxTokens <= budget ? 'contended' : 'spent', committedTokens };
 }
 
-/** Merges the answers by turn; a reservation that any store holds as settled is settled. */
+/** Merges the answers by turn. */
 function reservationsOfOtherTurns(
   answers: readonly ReservationsAnswer[],
   turn: string,
@@ -52,7 +52,9 @@
     for (const reservation of reservations) {
       if (reservation.turn === turn) continue;
       const existing = others.get(reservation.turn);
-      if (existing?.settled !== true) others.set(reservation.turn, reservation);
+      const merged =
+        existing === undefined ? reservation : mergeReservations(existing, reservation);
+      others.set(reservation.turn, merged);
     }
   }
   return others.values();
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -139,10 +139,12 @@
     program,
     turn,
     most,
+    spread,
   }: ReserveRequest): Promise<ReservationsAnswer | ViewMismatch> {
     return this.#inCurrentView(epoch, async () => {
       const { journal, clock } = this.#options;
-      const reservations = [{ turn, tokens: most, settled: false }];
+      const written = { turn, tokens: most, settled: false };
+      const reservations = [spread === true ? { ...written, spread } : written];
       await journal.add([{ kind: 'budget', program, reservations, changedAt: clock.now() }]);
       return this.#reservations(program);
     });
--- a/src/turns/table.ts
+++ b/src/turns/table.ts
@@ -1,4 +1,4 @@
-import type { Reservation, TurnRecord, TurnRow } from './records';
+import { type Reservation, type TurnRecord, type TurnRow, mergeReservations } from './records';
 
 /** Time beyond the retention for which rows are kept, for clock skew and continuing programs. */
 const RETENTION_MARGIN_MILLISECONDS = 60_000;
@@ -112,7 +112,6 @@
     return true;
   }
 
-  /** A settled reservation is final. */
   #applyReservation(program: string, reservation: Reservation, changedAt: number): boolean {
     const budget = this.#budgets.get(program) ?? {
       reservations: new Map<string, Reservation>(),
@@ -122,8 +121,9 @@
     this.#budgets.set(program, budget);
     budget.changedAt = Math.max(budget.changedAt, changedAt);
     const existing = budget.reservations.get(reservation.turn);
-    if (existing !== undefined && (existing.settled || !reservation.settled)) return false;
-    budget.reservations.set(reservation.turn, reservation);
+    const merged = existing === undefined ? reservation : mergeReservations(existing, reservation);
+    if (merged === existing) return false;
+    budget.reservations.set(reservation.turn, merged);
     return true;
   }
 }
