Reservations are written to the preferred replicas in one round

Cause: a turn wrote its reservation to all stores of the view (5 with two tolerated losses) to finish in one round (docs/design/hard-load.md, part 2). Change: `ReservationClient` writes to the first `quorum` members of the program's order. If one of them is late by 25 ms, fails, serves another view or is not complete, or a mark is seen, it writes to all members with the mark and reads again from a quorum. A preferred replica that is known to be unresponsive is not waited for. The metric `reservations_in_two_rounds_total` has the reason as a label; new log line `reservation-spread`. Timers of the fast round are extended by 1 ms, since after a stall of the gateway they run before the answers that have arrived are read. Ruled out: keeping all marks in force for the life of a program, as every later turn of it would then need two rounds.

--- a/src/turns/member-queries.ts
+++ b/src/turns/member-queries.ts
@@ -6,20 +6,14 @@
   readonly answers: readonly Answer[];
   /** One line per failed member: its name and the error. */
   readonly failures: readonly string[];
-  /** Names of the queried members that have neither answered nor failed. */
-  readonly pending: readonly string[];
 }
 
 export interface QueryRoundOptions<Answer> {
   readonly view: StoreView;
   readonly clock: Clock;
   readonly query: (member: ViewMember) => Promise<Answer>;
-  /** Whether the answers suffice; the round then ends, or waits for stragglers only. */
+  /** Whether the answers suffice; the round then ends. */
   readonly isDecided: (answers: readonly Answer[]) => boolean;
-  /** Maximum wait for further answers once the round is decided; milliseconds, 0 for none. */
-  readonly stragglerWaitMilliseconds: number;
-  /** Whether that wait includes a pending member; all are included by default. */
-  readonly isResponsive?: (member: ViewMember) => boolean;
   readonly describeFailure: (error: unknown) => string;
   /** Without it, all members are queried at once. */
   readonly hedging?: Hedging | undefined;
@@ -38,9 +32,7 @@
 export function queryMembers<Answer>(
   options: QueryRoundOptions<Answer>,
 ): Promise<QueryRound<Answer>> {
-  const { view, clock, query, isDecided, stragglerWaitMilliseconds, describeFailure, hedging } =
-    options;
-  const { isResponsive = () => true } = options;
+  const { view, clock, query, isDecided, describeFailure, hedging } = options;
   const { order, initialCount, hedgeDelayMilliseconds } = hedging ?? {
     order: view.members,
     initialCount: view.members.length,
@@ -49,35 +41,29 @@
   return new Promise((resolve) => {
     const answers: Answer[] = [];
     const failures: string[] = [];
-    const pending = new Set<ViewMember>();
+    let pendingCount = 0;
     let queriedCount = 0;
-    let cancelStragglerWait: CancelTimer | undefined;
     let cancelHedge: CancelTimer | undefined;
     const finish = () => {
       queriedCount = order.length;
-      cancelStragglerWait?.();
       cancelHedge?.();
-      const pendingNames = [...pending].map(({ name }) => name);
-      resolve({ answers: [...answers], failures: [...failures], pending: pendingNames });
+      resolve({ answers: [...answers], failures: [...failures] });
     };
     const evaluate = () => {
-      if (isDecided(answers)) {
-        const awaitsStragglers = stragglerWaitMilliseconds > 0 && [...pending].some(isResponsive);
-        if (!awaitsStragglers) finish();
-        else cancelStragglerWait ??= clock.after(stragglerWaitMilliseconds, finish);
-      } else if (pending.size === 0 && queriedCount < order.length) queryUpTo(order.length);
-      else if (pending.size === 0) finish();
+      if (isDecided(answers)) finish();
+      else if (pendingCount === 0 && queriedCount < order.length) queryUpTo(order.length);
+      else if (pendingCount === 0) finish();
     };
     const queryOne = (member: ViewMember) => {
-      pending.add(member);
+      pendingCount += 1;
       query(member).then(
         (answer) => {
-          pending.delete(member);
+          pendingCount -= 1;
           answers.push(answer);
           evaluate();
         },
         (error: unknown) => {
-          pending.delete(member);
+          pendingCount -= 1;
           failures.push(`${member.name}: ${describeFailure(error)}`);
           queryUpTo(queriedCount + 1);
           evaluate();
@@ -98,6 +84,62 @@
   });
 }
 
+/** Result of a query that all queried members must accept. */
+export type UnanimousRound<Answer> =
+  | { readonly kind: 'unanimous'; readonly answers: readonly Answer[] }
+  | { readonly kind: 'rejected'; readonly member: ViewMember; readonly answer: Answer }
+  | { readonly kind: 'failed'; readonly member: ViewMember; readonly error: unknown }
+  | { readonly kind: 'late'; readonly pending: readonly ViewMember[] };
+
+export interface UnanimousQueryOptions<Answer> {
+  readonly members: readonly ViewMember[];
+  readonly clock: Clock;
+  readonly query: (member: ViewMember) => Promise<Answer>;
+  readonly isAccepted: (answer: Answer) => boolean;
+  /** Maximum wait for the answers; milliseconds. */
+  readonly timeLimitMilliseconds: number;
+}
+
+/**
+ * After a stall of this process, expired timers run before the answers that have already arrived
+ * are read. The time limit is extended by a timer of its own, so that those answers still count.
+ */
+const ARRIVED_ANSWERS_GRACE_MILLISECONDS = 1;
+
+/** Queries all members at once; ends at the first one that fails or whose answer is not accepted. */
+export function queryUnanimously<Answer>(
+  options: UnanimousQueryOptions<Answer>,
+): Promise<UnanimousRound<Answer>> {
+  const { members, clock, query, isAccepted, timeLimitMilliseconds } = options;
+  return new Promise((resolve) => {
+    const answers: Answer[] = [];
+    const pending = new Set(members);
+    const finish = (round: UnanimousRound<Answer>) => {
+      cancelTimer();
+      resolve(round);
+    };
+    let cancelTimer = clock.after(timeLimitMilliseconds, () => {
+      cancelTimer = clock.after(ARRIVED_ANSWERS_GRACE_MILLISECONDS, () => {
+        finish({ kind: 'late', pending: [...pending] });
+      });
+    });
+    for (const member of members) {
+      query(member).then(
+        (answer) => {
+          pending.delete(member);
+          answers.push(answer);
+          if (!isAccepted(answer)) finish({ kind: 'rejected', member, answer });
+          else if (pending.size === 0) finish({ kind: 'unanimous', answers });
+        },
+        (error: unknown) => {
+          pending.delete(member);
+          finish({ kind: 'failed', member, error });
+        },
+      );
+    }
+  });
+}
+
 export interface OrderedQueryOptions<Answer, Result> {
   readonly members: readonly ViewMember[];
   readonly clock: Clock;
--- a/src/turns/quorum-monitor.ts
+++ b/src/turns/quorum-monitor.ts
@@ -81,7 +81,6 @@
     const round = await queryMembers({
       view,
       clock,
-      stragglerWaitMilliseconds: 0,
       isDecided: (answers) => answers.length >= view.quorum,
       describeFailure: messageOf,
       query: ({ address }) =>
--- a/src/turns/reservation-budget.ts
+++ b/src/turns/reservation-budget.ts
@@ -42,6 +42,27 @@
   return { kind: committedBefore + maxTokens <= budget ? 'contended' : 'spent', committedTokens };
 }
 
+/**
+ * Whether another turn's reservation is marked as written to all stores, unless all answers have it
+ * as settled.
+ */
+export function seesSpreadReservation(
+  answers: readonly ReservationsAnswer[],
+  turn: string,
+): boolean {
+  const spreadTurns = new Set<string>();
+  for (const { reservations } of answers) {
+    for (const reservation of reservations) {
+      if (reservation.spread === true && reservation.turn !== turn) {
+        spreadTurns.add(reservation.turn);
+      }
+    }
+  }
+  const isSettledIn = (spreadTurn: string) => (answer: ReservationsAnswer) =>
+    answer.reservations.some((other) => other.turn === spreadTurn && other.settled);
+  return [...spreadTurns].some((spreadTurn) => !answers.every(isSettledIn(spreadTurn)));
+}
+
 /** Merges the answers by turn. */
 function reservationsOfOtherTurns(
   answers: readonly ReservationsAnswer[],
--- /dev/null
+++ b/src/turns/reservation-client.ts
@@ -0,0 +1,172 @@
+import type { ViewMember } from '../cluster';
+import { type Clock, RateLimitedLogLine, type Logger, type Metrics, delay } from '../core';
+import type { ReservationsAnswer } from './contract';
+import { queryUnanimously } from './member-queries';
+import {
+  type ReserveOptions,
+  type ReserveOutcome,
+  evaluateBudget,
+  seesSpreadReservation,
+} from './reservation-budget';
+import { HEDGE_DELAY_MILLISECONDS, type Reply, type StoreQueries } from './store-queries';
+
+/** Reads of a contended budget before the reservation is refused. */
+const CONTENTION_MAX_RETRIES = 4;
+
+const CONTENTION_RETRY_DELAY_MILLISECONDS = 10;
+
+/** Minimum time between two `reservation-spread` log lines. */
+const SPREAD_LOG_INTERVAL_MILLISECONDS = 1000;
+
+export interface ReservationClientOptions {
+  readonly stores: StoreQueries;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Why a reservation can't be decided by the program's preferred replicas alone. */
+type SpreadReason =
+  'no-view' | 'unresponsive' | 'late' | 'failed' | 'other-view' | 'incomplete' | 'marked';
+
+type PreferredRound =
+  | { readonly kind: 'decided'; readonly answers: readonly ReservationsAnswer[] }
+  | {
+      readonly kind: 'inconclusive';
+      readonly reason: SpreadReason;
+      readonly store?: string | undefined;
+    };
+
+/**
+ * Reserves tokens in budgets. Of any concurrent reservations that are granted, one must have seen
+ * all others, so that its own sum bounds theirs:
+ *
+ * - A reservation that is decided in one round was written to all preferred replicas and saw no
+ *   undecided mark there. Of several such reservations, the last one at a replica sees all others.
+ * - Any other reservation is written to all stores with a mark, and read again once it is durable
+ *   at a quorum. Of several such reservations, the last one that reached its quorum sees all others.
+ * - A quorum includes a preferred replica. There, either the marked reservation sees the other one,
+ *   or the other one sees the mark and does not end in one round.
+ *
+ * The answers to the writes therefore count in every later evaluation. A mark may be ignored only
+ * if all preferred replicas hold its reservation as settled: all writes then follow its decision.
+ */
+export class ReservationClient {
+  readonly #options: ReservationClientOptions;
+  readonly #spreadLog: RateLimitedLogLine;
+
+  constructor(options: ReservationClientOptions) {
+    this.#options = options;
+    const { clock, logger } = options;
+    this.#spreadLog = new RateLimitedLogLine({
+      event: 'reservation-spread',
+      intervalMilliseconds: SPREAD_LOG_INTERVAL_MILLISECONDS,
+      clock,
+      logger,
+    });
+  }
+
+  /**
+   * Reserves a turn's tokens; resolves with whether they fit in the budget. Of concurrent
+   * reservations that fit singly but not together, those with the smallest turn ids are granted:
+   * they read again until the callers of the refused ones have settled those with 0 tokens.
+   */
+  async reserve(options: ReserveOptions): Promise<ReserveOutcome> {
+    const { clock, metrics } = this.#options;
+    const written = await this.#write(options);
+    let evaluation = evaluateBudget(written, options);
+    for (
+      let retry = 0;
+      evaluation.kind === 'contended' && retry < CONTENTION_MAX_RETRIES;
+      retry += 1
+    ) {
+      if (clock.monotonic() + CONTENTION_RETRY_DELAY_MILLISECONDS >= options.deadline) break;
+      metrics.count('contended_reservations_total');
+      await delay(clock, CONTENTION_RETRY_DELAY_MILLISECONDS);
+      evaluation = evaluateBudget([...written, ...(await this.#read(options))], options);
+    }
+    return { fits: evaluation.kind === 'fits', committedTokens: evaluation.committedTokens };
+  }
+
+  /**
+   * Reduces the reservation of a turn that is not recorded to the tokens that it generated, 0 if it
+   * did not run. Best effort: a store that misses the message keeps counting the reserved maximum.
+   */
+  settle(program: string, turn: string, tokens: number): void {
+    this.#options.stores.castToAll({ program, turn, tokens });
+  }
+
+  async #write(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+    const round = await this.#writeToPreferredReplicas(options);
+    if (round.kind === 'decided') return round.answers;
+    const { program, turn } = options;
+    const { reason, store } = round;
+    this.#options.metrics.count(`reservations_in_two_rounds_total{reason="${reason}"}`);
+    this.#spreadLog.write({ program, turn, reason, store });
+    const written = await this.#writeToAll(options);
+    return [...written, ...(await this.#read(options))];
+  }
+
+  async #writeToPreferredReplicas(options: ReserveOptions): Promise<PreferredRound> {
+    const { stores, clock } = this.#options;
+    const { program, turn, maxTokens } = options;
+    const { view } = stores;
+    if (view === undefined) return { kind: 'inconclusive', reason: 'no-view' };
+    const replicas = stores.rank(view, program).slice(0, view.quorum);
+    const unresponsive = replicas.find((replica) => !stores.isResponsive(replica));
+    if (unresponsive !== undefined) {
+      return { kind: 'inconclusive', reason: 'unresponsive', store: unresponsive.name };
+    }
+    const request = { epoch: view.epoch, program, turn, most: maxTokens };
+    const round = await queryUnanimously<Reply<ReservationsAnswer>>({
+      members: replicas,
+      clock,
+      timeLimitMilliseconds: HEDGE_DELAY_MILLISECONDS,
+      query: (replica) =>
+        stores.trackResponsiveness(replica, stores.call(replica, 'turns.reserve', request)),
+      isAccepted: (answer) => answer.kind === 'reservations' && answer.complete,
+    });
+    if (round.kind === 'late') {
+      for (const replica of round.pending) stores.markUnresponsive(replica);
+      return { kind: 'inconclusive', reason: 'late', store: namesOf(round.pending) };
+    }
+    if (round.kind === 'failed') {
+      return { kind: 'inconclusive', reason: 'failed', store: round.member.name };
+    }
+    if (round.kind === 'rejected') {
+      stores.adoptNewerView(round.answer);
+      const reason = round.answer.kind === 'reservations' ? 'incomplete' : 'other-view';
+      return { kind: 'inconclusive', reason, store: round.member.name };
+    }
+    const answers = round.answers.filter((answer) => answer.kind === 'reservations');
+    if (seesSpreadReservation(answers, turn)) return { kind: 'inconclusive', reason: 'marked' };
+    stores.recordQuorum();
+    return { kind: 'decided', answers };
+  }
+
+  #writeToAll(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+    const { stores } = this.#options;
+    const { program, turn, maxTokens, deadline } = options;
+    return stores.queryQuorum<ReservationsAnswer>({
+      deadline,
+      query: ({ epoch }, member) => {
+        const request = { epoch, program, turn, most: maxTokens, spread: true } as const;
+        return stores.call(member, 'turns.reserve', request);
+      },
+    });
+  }
+
+  /** Reads a program's reservations from a quorum of stores that hold all acknowledged data. */
+  #read({ program, deadline }: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+    const { stores } = this.#options;
+    return stores.queryQuorum<ReservationsAnswer>({
+      deadline,
+      isCounted: (answer) => answer.complete,
+      query: ({ epoch }, member) => stores.call(member, 'turns.reservations', { epoch, program }),
+    });
+  }
+}
+
+function namesOf(members: readonly ViewMember[]): string {
+  return members.map(({ name }) => name).join(', ');
+}
