Log output flushes only if lines are pending

Cause: every 200 ms each process called flush() of the log stream. Without a line sonic-boom writes an empty string, a system call in the thread pool. A profile of an idle gateway showed 7% of its busy time in this write.

Change: LogOutput counts the bytes of lines that were neither written nor dropped and flushes only if there are any. Lines are written as early as before.

Ruled out: a flag that is cleared by flush(). A flush during a write does nothing, so that lines added in the meantime would wait for the next line.

Idle system of 5 gateways and 5 stores, both builds at the same time, four windows of 8 s, processor time of all processes in ms per second: before 313, 266, 283, 290 (mean 288); after 323, 261, 276, 287 (mean 287). The first window includes the end of the start. Write system calls of a gateway fall from 99 to 70 per second (means of two gateways; part of it depends on which gateway is the leader).

--- a/src/nodes/log-output.ts
+++ b/src/nodes/log-output.ts
@@ -13,6 +13,8 @@
 export class LogOutput implements Component {
   readonly stream: SonicBoom;
   readonly #flushTask: PeriodicTask;
+  /** Bytes of the lines that were neither written nor dropped. */
+  #pendingBytes = 0;
 
   constructor(clock: Clock, metrics: Metrics) {
     this.stream = destination({
@@ -21,14 +23,24 @@
       minLength: WRITE_CHUNK_BYTES,
       maxLength: BUFFER_LIMIT_BYTES,
     });
-    this.stream.on('drop', () => {
+    const write = this.stream.write.bind(this.stream);
+    this.stream.write = (line) => {
+      this.#pendingBytes += Buffer.byteLength(line);
+      return write(line);
+    };
+    this.stream.on('write', (bytes: number) => {
+      this.#pendingBytes -= bytes;
+    });
+    this.stream.on('drop', (line: string) => {
+      this.#pendingBytes -= Buffer.byteLength(line);
       metrics.count('log_lines_dropped_total');
     });
     this.stream.on('error', () => {
       metrics.count('log_write_errors_total');
     });
     this.#flushTask = new PeriodicTask(clock, FLUSH_INTERVAL_MILLISECONDS, () => {
-      this.stream.flush();
+      // Without a line, flush() would write an empty string, which costs a system call.
+      if (this.#pendingBytes > 0) this.stream.flush();
     });
   }
 
