Node directory keeps its lists; synchronous periodic tasks need no promises

Cause: the load exchange asks for the gateways twice in each interval of 20 to 40 ms. Each time all nodes were checked for expiry and copied and filtered into new lists. Each run of a periodic task created three promises.

Change: the directory keeps its lists until a node changes and checks for expiry only once the oldest heartbeat may have expired. repeat() creates promises only for actions that return one; other actions are scheduled again directly.

--- a/src/cluster/directory.ts
+++ b/src/cluster/directory.ts
@@ -9,6 +9,11 @@
   readonly #clock: Clock;
   readonly #nodes = new Map<string, KnownNode>();
   #digest: string | undefined;
+  /** Nodes as returned by {@link all} and {@link ofKind}; cleared by each change. */
+  #list: readonly KnownNode[] | undefined;
+  readonly #listsByKind = new Map<NodeKind, readonly KnownNode[]>();
+  /** No node expires before this time. */
+  #noExpiryBefore = -Infinity;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -41,13 +46,9 @@
 
   /** Removes expired nodes and returns the others. */
   all(): readonly KnownNode[] {
-    const since = this.#clock.monotonic() - EXPIRY_MILLISECONDS;
-    for (const [name, { lastSeenAt }] of this.#nodes) {
-      if (lastSeenAt >= since) continue;
-      this.#nodes.delete(name);
-      this.#digest = undefined;
-    }
-    return [...this.#nodes.values()];
+    this.#removeExpired();
+    this.#list ??= [...this.#nodes.values()];
+    return this.#list;
   }
 
   /** Number of nodes, including expired ones that {@link all} has not removed yet. */
@@ -56,7 +57,12 @@
   }
 
   ofKind(kind: NodeKind): readonly KnownNode[] {
-    return this.all().filter(({ node }) => node.kind === kind);
+    const all = this.all();
+    const known = this.#listsByKind.get(kind);
+    if (known !== undefined) return known;
+    const list = all.filter(({ node }) => node.kind === kind);
+    this.#listsByKind.set(kind, list);
+    return list;
   }
 
   /** Nodes that sent this process a heartbeat within the last `milliseconds`. */
@@ -69,9 +75,9 @@
    * Digest of the nodes' names, runs and addresses; equal on processes that know the same nodes.
    */
   get digest(): string {
-    const nodes = this.all();
+    this.#removeExpired();
     this.#digest ??= digestText(
-      nodes
+      [...this.#nodes.values()]
         .map(({ node }) => `${node.name} ${node.run} ${node.address}`)
         .sort()
         .join('\n'),
@@ -83,6 +89,29 @@
     const present = this.#nodes.get(known.node.name);
     if (present?.node.run !== known.node.run) this.#digest = undefined;
     this.#nodes.set(known.node.name, known);
+    this.#noExpiryBefore = Math.min(this.#noExpiryBefore, known.lastSeenAt + EXPIRY_MILLISECONDS);
+    this.#clearLists();
+  }
+
+  #removeExpired(): void {
+    const now = this.#clock.monotonic();
+    if (now <= this.#noExpiryBefore) return;
+    let oldest = Infinity;
+    for (const [name, { lastSeenAt }] of this.#nodes) {
+      if (lastSeenAt >= now - EXPIRY_MILLISECONDS) {
+        oldest = Math.min(oldest, lastSeenAt);
+        continue;
+      }
+      this.#nodes.delete(name);
+      this.#digest = undefined;
+      this.#clearLists();
+    }
+    this.#noExpiryBefore = oldest + EXPIRY_MILLISECONDS;
+  }
+
+  #clearLists(): void {
+    this.#list = undefined;
+    this.#listsByKind.clear();
   }
 }
 
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -38,11 +38,15 @@
   let cancel: CancelTimer = () => undefined;
   const schedule = () => {
     cancel = clock.after(milliseconds, () => {
-      void Promise.resolve(action()).finally(() => {
-        if (!stopped) schedule();
-      });
+      const result = action();
+      // Synchronous actions run several times per second in an idle process and need no promises.
+      if (result === undefined) scheduleNext();
+      else void result.finally(scheduleNext);
     });
   };
+  const scheduleNext = () => {
+    if (!stopped) schedule();
+  };
   schedule();
   return () => {
     stopped = true;
