--- a/bench/worst/teams.ts
+++ b/bench/worst/teams.ts
@@ -19,7 +19,7 @@
   return { name, priority: 1, programsPerSecond, quota };
 }
 
-/** The team of a flood; a quarter of the usual load, as in the measured flood. */
+/** The team of a flood; a quarter of the usual load. */
 export const LARGE_TEAM = createTeam('large', 7);
 
 /** Teams of one priority that start 30 programs per second together. */
--- a/src/decisions/engine-shares.ts
+++ b/src/decisions/engine-shares.ts
@@ -1,8 +1,7 @@
 /**
  * Part of the slots that is shared. Turns wait before all slots are in use, since the turns of a
- * conversation go to the engine that caches it. Of the other teams' programs in a flood, 89 in 100
- * were on time with shares of all slots and 94 with shares of this part (`bench worst`, load
- * `team-flood`).
+ * conversation go to the engine that caches it. With shares of all slots, a flood delays the other
+ * teams.
  */
 const SHARED_SLOTS_FACTOR = 0.8;
 
@@ -10,8 +9,7 @@
  * A team over its share is refused and its running programs are delayed, so it has to exceed the
  * share clearly: by the tolerance of the overload limit, by more than the requests that one more
  * program of a small team adds, and by a part of the slots that delays other teams noticeably.
- * Without the last condition small teams exceed their shares at random: in a burst of all teams, 42
- * instead of 54 in 100 programs were on time (`bench worst`, load `burst-of-all-teams`).
+ * Without the last condition small teams exceed their shares at random in a burst of all teams.
  */
 const TOLERANCE = { factor: 1.25, requests: 2, slotsFactor: 0.1 } as const;
 
