Leaving hosts survive a change of the control leader

Callers saw new programs placed on a leaving target after another control host had become leader, for up to a second, and without limit if the host was no longer on the platform's list or the list could not be read.

Cause: leaving hosts were known to the leader's memory only. A new leader published each target as its sidecar reported it, and the sidecar of a leaving target reports that it serves.

Ruled out: a silent target that satisfies the test's wait for the number of serving targets.

Change: the names of leaving hosts are replicated in the configuration group, and a new leader applies them before it answers.

--- a/scripts/separate/system.ts
+++ b/scripts/separate/system.ts
@@ -124,15 +124,14 @@
 
   /** Resolves once every entry has a configuration and reports this number of serving targets. */
   async untilTargetsServing(targets = this.layout.targets.length): Promise<void> {
-    for (const url of this.entryUrls) {
-      await this.until(async () => {
-        const metrics = await fetchText(`${url}/metrics`);
-        return (
-          metrics.includes(`targets_serving ${targets}\n`) &&
-          !metrics.includes('configuration_number 0\n')
-        );
-      });
-    }
+    await this.#untilMetrics(
+      (metrics) => isConfigured(metrics) && metrics.includes(`targets_serving ${targets}\n`),
+    );
+  }
+
+  /** Resolves once every entry has a configuration, and with it the targets known to the leader. */
+  async untilConfigured(): Promise<void> {
+    await this.#untilMetrics(isConfigured);
   }
 
   /** Polls until the condition is true. */
@@ -140,6 +139,12 @@
     while (!(await condition())) await delay(this.#clock, POLL_INTERVAL_MILLISECONDS);
   }
 
+  async #untilMetrics(condition: (metrics: string) => boolean): Promise<void> {
+    for (const url of this.entryUrls) {
+      await this.until(async () => condition(await fetchText(`${url}/metrics`)));
+    }
+  }
+
   /** Sends SIGTERM to all processes; returns their exit codes or signals by name. */
   async stop(): Promise<Readonly<Record<string, number | string>>> {
     const { standIns, controls, sidecars, entries } = this.layout;
@@ -172,6 +177,10 @@
   }
 }
 
+function isConfigured(metrics: string): boolean {
+  return !metrics.includes('configuration_number 0\n');
+}
+
 async function fetchText(url: string): Promise<string> {
   const response = await request(url);
   return response.body.text();
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -5,8 +5,8 @@
 import type { Envelope, LogView, ReplicatedLog } from '../replication';
 import { type ControlSettings, programGroups } from '../settings';
 import {
-  type AcceptOutcome,
   CONFIGURATION_GROUP,
+  type ConfigurationResult,
   ConfigurationStateMachine,
   ProgramStateMachine,
 } from '../state';
@@ -20,6 +20,7 @@
 } from './group-log';
 import { HostListReader } from './host-list-reader';
 import { EntryLiveness } from './entry-liveness';
+import { LeavingHosts } from './leaving-hosts';
 import { CHANGE_KEYS, ChangeNotifier } from './change-notifier';
 import { PendingOrders } from './pending-orders';
 import { OrderRelay } from './order-relay';
@@ -66,7 +67,8 @@
   readonly #ticker: SharedTicker;
   readonly #groupContext: GroupContext;
   readonly #configuration: ConfigurationStateMachine;
-  readonly #configurationLog: ReplicatedLog<AcceptOutcome>;
+  readonly #configurationLog: ReplicatedLog<ConfigurationResult>;
+  readonly #leavingHosts: LeavingHosts;
   readonly #groups: readonly HostedProgramGroup[];
 
   constructor(options: ControlProcessOptions) {
@@ -94,8 +96,16 @@
     };
     this.#configuration = new ConfigurationStateMachine(() => {
       this.#notifier.notify(CHANGE_KEYS.configuration);
+      this.#leavingHosts.publish();
     });
     this.#configurationLog = this.#createConfigurationLog();
+    this.#leavingHosts = new LeavingHosts({
+      log: this.#configurationLog,
+      machine: this.#configuration,
+      registry: this.#registry,
+      notifier: this.#notifier,
+      logger,
+    });
     this.#groups = programGroups(cluster)
       .filter((group) => group.hosts.includes(host.name))
       .map((group) => this.#createGroup(group.name, group.hosts));
@@ -154,26 +164,12 @@
       clock,
       logger,
       isEnabled: () => this.#configurationLog.serves,
-      onHosts: (draining, live) => {
-        const changed = this.#registry.applyHostList(
-          this.#targetsOn(draining),
-          this.#targetsOn(live),
-        );
-        if (changed) this.#notifier.notify(CHANGE_KEYS.directory);
-      },
+      onHosts: (leaving, live) => this.#leavingHosts.update(leaving, live),
     });
     lifeCycle.add('host-list', reader);
   }
 
-  #targetsOn(hosts: readonly string[]): readonly string[] {
-    const pools = this.#configuration.accepted?.configuration.pools ?? [];
-    return pools
-      .flatMap((pool) => pool.targets)
-      .filter((target) => hosts.includes(target.host ?? target.name))
-      .map((target) => target.name);
-  }
-
-  #createConfigurationLog(): ReplicatedLog<AcceptOutcome> {
+  #createConfigurationLog(): ReplicatedLog<ConfigurationResult> {
     const { settings, clock } = this.#options;
     let wasLeader = false;
     return createGroupLog(this.#groupContext, {
@@ -183,6 +179,7 @@
       onChange: ({ role }) => {
         if (role === 'leader' && !wasLeader) {
           this.#registry.reset(clock.monotonic());
+          this.#leavingHosts.publish();
           this.#orders.reset();
         }
         wasLeader = role === 'leader';
--- a/src/control/control-service.ts
+++ b/src/control/control-service.ts
@@ -26,6 +26,7 @@
   type BeginStep,
   type CompleteOutcome,
   type CompleteStep,
+  type ConfigurationResult,
   type ConfigurationStateMachine,
   type CreateProgram,
   type Created,
@@ -45,7 +46,7 @@
 export interface ControlServiceOptions {
   readonly self: string;
   /** Log of the configuration group. */
-  readonly log: ReplicatedLog<AcceptOutcome>;
+  readonly log: ReplicatedLog<ConfigurationResult>;
   readonly machine: ConfigurationStateMachine;
   /** Services of the program groups that this host is a member of, by group name. */
   readonly programs: ReadonlyMap<string, ProgramService>;
@@ -202,6 +203,8 @@
     if (!this.#serves) return this.#notLeader;
     try {
       const outcome = await this.#options.log.propose(JSON.stringify(input));
+      if (outcome.outcome === 'leaving-hosts-recorded')
+        throw new Error(`Expected the outcome of a configuration, found "${outcome.outcome}"`);
       const { outcome: result, number, digest } = outcome;
       this.#options.logger.info({ event: 'configuration', result, number, digest });
       return outcome;
--- a/src/control/host-list-reader.ts
+++ b/src/control/host-list-reader.ts
@@ -26,7 +26,7 @@
   /** Whether to read the list; true only on the leader of the configuration group. */
   readonly isEnabled: () => boolean;
   /** Called after each read with the names of the hosts whose state is `leaving` or `live`. */
-  readonly onHosts: (draining: readonly string[], live: readonly string[]) => void;
+  readonly onHosts: (draining: readonly string[], live: readonly string[]) => Promise<void> | void;
 }
 
 /**
@@ -60,7 +60,7 @@
       const { hosts } = hostListSchema.parse(await response.body.json());
       const hostsInState = (state: string) =>
         hosts.filter((entry) => entry.state === state).map((entry) => entry.host);
-      onHosts(hostsInState('leaving'), hostsInState('live'));
+      await onHosts(hostsInState('leaving'), hostsInState('live'));
     } catch (error) {
       logger.warn({ event: 'host-list-unreadable', error: messageOf(error) });
     } finally {
--- a/src/state/commands.ts
+++ b/src/state/commands.ts
@@ -97,6 +97,28 @@
   files: z.array(sourceFileSchema).readonly(),
 });
 
+/**
+ * Replaces the replicated names of the leaving hosts. Members of earlier versions read the entry as a
+ * configuration without files, which they refuse without effect.
+ */
+export const recordLeavingHostsSchema = z.object({
+  number: z.literal(1),
+  digest: z.literal(''),
+  files: z.tuple([]),
+  leavingHosts: z.array(z.string()).readonly(),
+});
+
+/** Encodes a log entry of the configuration group that replaces the names of the leaving hosts. */
+export function encodeLeavingHosts(leavingHosts: readonly string[]): string {
+  const entry: z.input<typeof recordLeavingHostsSchema> = {
+    number: 1,
+    digest: '',
+    files: [],
+    leavingHosts: [...leavingHosts],
+  };
+  return JSON.stringify(entry);
+}
+
 /** Log entries of a program group. `at` is the leader's wall time in milliseconds. */
 export const commandSchema = z.discriminatedUnion('kind', [
   z.object({
--- a/src/state/configuration-state-machine.ts
+++ b/src/state/configuration-state-machine.ts
@@ -7,8 +7,12 @@
   sourceFileSchema,
 } from '../configuration';
 import type { StateMachine } from '../replication';
-import { type AcceptConfiguration, acceptConfigurationSchema } from './commands';
-import type { AcceptOutcome, NotAccepted } from './outcomes';
+import {
+  type AcceptConfiguration,
+  acceptConfigurationSchema,
+  recordLeavingHostsSchema,
+} from './commands';
+import type { AcceptOutcome, ConfigurationResult, NotAccepted } from './outcomes';
 
 /** A file with the number of the configuration in which its text last changed. */
 const versionedFileSchema = sourceFileSchema.extend({ since: z.int() });
@@ -32,7 +36,12 @@
 
 const rowSchema = z.discriminatedUnion('table', [
   z.object({ table: z.literal('files'), value: z.array(versionedFileSchema).readonly() }),
-  z.object({ table: z.literal('digests'), value: z.array(z.tuple([z.int(), z.string()])) }),
+  z.object({
+    table: z.literal('digests'),
+    value: z.array(z.tuple([z.int(), z.string()])),
+    /** In a row of its own without digests, which members of earlier versions restore too. */
+    leavingHosts: z.array(z.string()).readonly().optional(),
+  }),
 ]);
 type Row = Readonly<z.output<typeof rowSchema>>;
 
@@ -42,14 +51,18 @@
 /**
  * The replicated configuration. Accepting is idempotent: a number and digest that were accepted
  * once always get the same outcome. An accepted number with another digest is rejected, and so is
- * a new number below the active one.
+ * a new number below the active one. Also holds the names of the leaving hosts.
  */
-export class ConfigurationStateMachine implements StateMachine<AcceptOutcome> {
+export class ConfigurationStateMachine implements StateMachine<ConfigurationResult> {
   readonly #onChange: () => void;
   #accepted: AcceptedConfiguration | undefined;
   #digests = new Map<number, string>();
+  #leavingHosts: readonly string[] = [];
 
-  /** `onChange` runs on every member after a configuration was accepted or a snapshot restored. */
+  /**
+   * `onChange` runs on every member after a configuration was accepted, leaving hosts were recorded
+   * or a snapshot was restored.
+   */
   constructor(onChange: () => void = () => undefined) {
     this.#onChange = onChange;
   }
@@ -63,6 +76,11 @@
     return this.#accepted?.configuration.number ?? 0;
   }
 
+  /** Hosts that the platform listed as leaving and has not listed as live since. */
+  get leavingHosts(): readonly string[] {
+    return this.#leavingHosts;
+  }
+
   /** Changes since a configuration number; undefined if that number is not below the active one. */
   changesSince(number: number): ConfigurationChanges | undefined {
     if (this.#accepted === undefined || number >= this.number) return undefined;
@@ -77,9 +95,15 @@
     };
   }
 
-  apply(text: string): AcceptOutcome {
-    const input = acceptConfigurationSchema.parse(JSON.parse(text));
-    const outcome = this.#accept(input);
+  apply(text: string): ConfigurationResult {
+    const entry: unknown = JSON.parse(text);
+    const recorded = recordLeavingHostsSchema.safeParse(entry);
+    if (recorded.success) {
+      this.#leavingHosts = recorded.data.leavingHosts;
+      this.#onChange();
+      return { outcome: 'leaving-hosts-recorded' };
+    }
+    const outcome = this.#accept(acceptConfigurationSchema.parse(entry));
     if (outcome.outcome === 'accepted') this.#onChange();
     return outcome;
   }
@@ -91,17 +115,22 @@
     for (let start = 0; start < digests.length; start += DIGESTS_PER_ROW) {
       yield encode({ table: 'digests', value: digests.slice(start, start + DIGESTS_PER_ROW) });
     }
+    if (this.#leavingHosts.length > 0) {
+      yield encode({ table: 'digests', value: [], leavingHosts: this.#leavingHosts });
+    }
   }
 
   restore(rows: readonly string[]): void {
     this.#accepted = undefined;
     this.#digests = new Map();
+    this.#leavingHosts = [];
     for (const text of rows) {
       const row = rowSchema.parse(JSON.parse(text));
       if (row.table === 'files') {
         this.#accepted = { configuration: parseConfiguration(row.value), files: row.value };
       } else {
         for (const [number, digest] of row.value) this.#digests.set(number, digest);
+        this.#leavingHosts = row.leavingHosts ?? this.#leavingHosts;
       }
     }
     this.#onChange();
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -13,6 +13,7 @@
   beginStepSchema,
   completeStepSchema,
   createProgramSchema,
+  encodeLeavingHosts,
   endProgramSchema,
   resolveStepSchema,
 } from './commands';
@@ -35,6 +36,7 @@
   type BeginOutcome,
   type CompleteDecision,
   type CompleteOutcome,
+  type ConfigurationResult,
   type Created,
   type Ended,
   type ProgramView,
--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -129,6 +129,9 @@
 
 export type AcceptOutcome = Accepted | NotAccepted;
 
+/** Result of a log entry of the configuration group. */
+export type ConfigurationResult = AcceptOutcome | { readonly outcome: 'leaving-hosts-recorded' };
+
 export interface Ended {
   readonly outcome: 'ended';
   readonly program: ProgramView;
--- a/src/state/tests/configuration-state-machine.test.ts
+++ b/src/state/tests/configuration-state-machine.test.ts
@@ -1,5 +1,5 @@
 import { digestFiles } from '../../configuration';
-import { ConfigurationStateMachine } from '..';
+import { ConfigurationStateMachine, acceptConfigurationSchema, encodeLeavingHosts } from '..';
 import { filesWithBudget } from './state-machine-fixture';
 
 function acceptInput(number: number, tokens: number) {
@@ -58,6 +58,32 @@
     expect(first && restored.apply(JSON.stringify(first))).toEqual(answers[0]);
   });
 
+  describe('leaving hosts', () => {
+    it('are kept across a snapshot and a new configuration, until they are replaced', () => {
+      machine.apply(encodeLeavingHosts(['host-a', 'host-b']));
+      accept(acceptInput(2, 100));
+      const restored = new ConfigurationStateMachine();
+      restored.restore([...machine.snapshot()]);
+      expect(restored.leavingHosts).toEqual(['host-a', 'host-b']);
+      restored.apply(encodeLeavingHosts([]));
+      expect(restored.leavingHosts).toEqual([]);
+      restored.restore([...restored.snapshot()]);
+      expect(restored.leavingHosts).toEqual([]);
+    });
+
+    // Guards against a rolling upgrade in which members of the earlier version stop at the entry or
+    // accept it as a configuration.
+    it('are refused by the rules for configurations', () => {
+      const empty = new ConfigurationStateMachine();
+      const entry = acceptConfigurationSchema.parse(JSON.parse(encodeLeavingHosts(['host-a'])));
+      for (const member of [empty, machine]) {
+        const { number } = member;
+        expect(member.apply(JSON.stringify(entry))).toMatchObject({ outcome: 'not-accepted' });
+        expect(member.number).toBe(number);
+      }
+    });
+  });
+
   describe('changesSince', () => {
     it('returns only the files that differ, and the names of all', () => {
       accept(acceptInput(2, 100));
--- a/tests/host-list.test.ts
+++ b/tests/host-list.test.ts
@@ -6,6 +6,7 @@
 import { Caller } from './caller';
 
 describe('the host list of the platform', () => {
+  const hosts = ['engine-1', 'engine-2', 'check-in-1'];
   let system: MultiProcessSystem;
   let list: HostList;
   let url: string;
@@ -15,7 +16,6 @@
     if (free === undefined) throw new Error('no free address');
     const address = formatAddress(free);
     url = `http://${address}/`;
-    const hosts = ['engine-1', 'engine-2', 'check-in-1'];
     const settings = hostsSettingsSchema.parse({ address, hosts, 'lag-milliseconds': 0 });
     list = new HostList(settings, new SystemClock());
     await list.start();
@@ -36,6 +36,7 @@
     await response.body.dump();
   }
 
+  // Guards against new work for a leaving target whose sidecar still reports that it serves.
   it('excludes a leaving target whose sidecar still serves, and includes it once it is live again', async () => {
     await setHostState('engine-1', 'leaving');
     await system.untilTargetsServing(system.layout.targets.length - 1);
@@ -50,4 +51,40 @@
     await setHostState('engine-1', 'live');
     await system.untilTargetsServing();
   });
+
+  describe('when another control host takes over', () => {
+    // Guards against a new leader that publishes a leaving target as serving: it knew only the
+    // heartbeats of the sidecars until it had read the list, which may no longer show the host.
+    it('still excludes a leaving target that has disappeared from the list', async () => {
+      await setHostState('engine-1', 'leaving');
+      await system.untilTargetsServing(system.layout.targets.length - 1);
+      await setHostState('engine-1', 'gone');
+      const { leader } = await system.group('configuration');
+      system.child(leader).signal('SIGTERM');
+      await system.child(leader).exited;
+      await system.until(async () => {
+        const { nodes } = await system.status();
+        return nodes.filter(({ kind }) => kind === 'sidecar').length === hosts.length;
+      });
+      system.child('entry-1').signal('SIGTERM');
+      await system.child('entry-1').exited;
+      await system.restart('entry-1');
+      await system.untilConfigured();
+      const caller = new Caller(system.entryUrls[0] ?? '');
+      expect(await sendFirstTurns(caller, 4)).toEqual(['engine-2']);
+      await system.restart(leader);
+      await setHostState('engine-1', 'live');
+      await system.untilTargetsServing();
+    });
+  });
+
+  /** Sends the first turns of programs; returns the names of the targets that were chosen. */
+  async function sendFirstTurns(caller: Caller, count: number): Promise<readonly unknown[]> {
+    for (let sent = 0; sent < count; sent += 1) {
+      const program = await caller.createProgram();
+      expect(await caller.sendTurn(program, 1, 'One.')).toMatchObject({ status: 200 });
+    }
+    const decisions = system.child('entry-1').lines.filter((line) => line['event'] === 'decision');
+    return [...new Set(decisions.map((line) => line['choice']))];
+  }
 });
