Reported loads no longer count calls that have ended

Callers saw the turn after a long one placed on another engine, which prefilled the whole history again (cached_tokens 0).

Cause: the load of an engine still counted calls that had ended, among them the program's own previous turn, at 20 ms each. The sidecar reported the engine's last report, up to a second old; an entry kept the load of a response until the next report, without taking its own ended calls out; and other entries had the load from a heartbeat sent during the turn.

Ruled out: a lost target and a failed first attempt.

Change: a sidecar reports its calls in flight plus the part of the engine's report that it did not forward; an entry takes its own calls out of each report, drops an observed load after a second, and takes the program's own last turn out of reports from before its end. Programs record that time.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -18,4 +18,5 @@
 export { nameSchema } from './name';
 export { PeriodicTask } from './periodic';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
+export { RecentPeak, type RecentPeakOptions } from './recent-peak';
 export { issuesOf, parseDocument } from './toml';
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -2,6 +2,14 @@
 import type { Clock } from '../core';
 import type { DirectoryChanges, Load, TargetRecord } from '../protocol';
 import type { Candidate } from '../routing';
+import { TargetCalls } from './target-calls';
+
+/** The last engine turn of the program that is placed. */
+export interface LastTurn {
+  readonly target: string;
+  /** Wall time in milliseconds, by the clock of a control host. */
+  readonly endedAt: number;
+}
 
 export interface AvailableTarget {
   readonly target: Target;
@@ -16,7 +24,7 @@
 export class TargetDirectory {
   readonly #availabilityZone: string;
   readonly #records = new Map<string, TargetRecord>();
-  readonly #callsInFlight = new Map<string, number>();
+  readonly #calls = new Map<string, TargetCalls>();
   readonly #cooldownUntil = new Map<string, number>();
   readonly #clock: Clock;
   #epoch = 0;
@@ -39,21 +47,23 @@
   update(changes: DirectoryChanges): void {
     this.#epoch = changes.epoch;
     this.#version = changes.version;
-    for (const record of changes.targets) this.#records.set(record.target, record);
+    for (const record of changes.targets) {
+      this.#records.set(record.target, record);
+      this.#callsOf(record.target).recordReport(record.load);
+    }
   }
 
   /** Records the load reported with a response, which is newer than the leader's. */
   observeLoad(target: string, load: Load): void {
-    const record = this.#records.get(target);
-    if (record !== undefined) this.#records.set(target, { ...record, load });
+    this.#callsOf(target).recordObservation(load);
   }
 
   recordCallStart(target: string): void {
-    this.#callsInFlight.set(target, (this.#callsInFlight.get(target) ?? 0) + 1);
+    this.#callsOf(target).recordStart();
   }
 
   recordCallEnd(target: string): void {
-    this.#callsInFlight.set(target, (this.#callsInFlight.get(target) ?? 1) - 1);
+    this.#callsOf(target).recordEnd();
   }
 
   /** Skips a target that failed a call for a short time, while other targets are available. */
@@ -66,12 +76,13 @@
     configuration: Configuration,
     service: Service,
     excluded: ReadonlySet<string>,
+    lastTurn?: LastTurn,
   ): readonly AvailableTarget[] {
     const pool = configuration.pools.find((entry) => entry.name === service.pool);
     const serving = (pool?.targets ?? []).flatMap((target): readonly AvailableTarget[] => {
       const record = this.#records.get(target.name);
       if (record?.state !== 'serving' || excluded.has(target.name)) return [];
-      return [this.#toAvailableTarget(configuration, target, record)];
+      return [this.#toAvailableTarget(configuration, target, record, lastTurn)];
     });
     const now = this.#clock.monotonic();
     const notInCooldown = serving.filter(
@@ -91,14 +102,17 @@
     configuration: Configuration,
     target: Target,
     record: TargetRecord,
+    lastTurn: LastTurn | undefined,
   ): AvailableTarget {
+    const calls = this.#callsOf(target.name);
+    const lastTurnEndedAt = lastTurn?.target === target.name ? lastTurn.endedAt : undefined;
     return {
       target,
       incarnation: record.incarnation,
       candidate: {
         target: target.name,
-        load: record.load,
-        ownCalls: this.#callsInFlight.get(target.name) ?? 0,
+        ownCalls: calls.own,
+        otherCalls: calls.others(lastTurnEndedAt),
         networkLatencyMilliseconds: this.#networkLatency(
           configuration,
           target['availability-zone'],
@@ -107,6 +121,14 @@
     };
   }
 
+  #callsOf(target: string): TargetCalls {
+    const known = this.#calls.get(target);
+    if (known !== undefined) return known;
+    const calls = new TargetCalls(this.#clock);
+    this.#calls.set(target, calls);
+    return calls;
+  }
+
   #networkLatency(configuration: Configuration, zone: string): number {
     if (zone === this.#availabilityZone) return 0;
     const distance = configuration.distances.find(
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -142,6 +142,7 @@
     contextTokens: 0,
     newTokens: 0,
     excluded,
+    lastTurn: undefined,
   });
 }
 
--- /dev/null
+++ b/src/entry/target-calls.ts
@@ -0,0 +1,79 @@
+import { type Clock, RecentPeak } from '../core';
+import type { Load } from '../protocol';
+
+/** Calls of others at a target, and the monotonic time in milliseconds at which they were reported. */
+interface OtherCallsReport {
+  readonly calls: number;
+  readonly receivedAt: number;
+}
+
+/**
+ * Maximum age of the load that the leader reports when it arrives, and interval at which it is
+ * renewed: that of a sidecar's heartbeats.
+ */
+const REPORT_AGE_MILLISECONDS = 1000;
+
+const NO_CALLS: OtherCallsReport = { calls: 0, receivedAt: -Infinity };
+
+/**
+ * Calls at one target, as known to one entry. A reported load counts all calls at the time of the
+ * report; the entry's own calls are taken out of it, since it knows which of them still run.
+ */
+export class TargetCalls {
+  readonly #clock: Clock;
+  readonly #ownPeak: RecentPeak;
+  #own = 0;
+  #reported = NO_CALLS;
+  #observed = NO_CALLS;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#ownPeak = new RecentPeak({ clock, windowMilliseconds: REPORT_AGE_MILLISECONDS });
+  }
+
+  /** Calls of this entry in flight. */
+  get own(): number {
+    return this.#own;
+  }
+
+  recordStart(): void {
+    this.#setOwn(this.#own + 1);
+  }
+
+  recordEnd(): void {
+    this.#setOwn(this.#own - 1);
+  }
+
+  /** Records the load from the leader, which may count own calls that have ended since. */
+  recordReport(load: Load): void {
+    this.#reported = this.#withoutOwn(load, this.#ownPeak.value);
+  }
+
+  /** Records the load that came with the response head of an own call in flight. */
+  recordObservation(load: Load): void {
+    this.#observed = this.#withoutOwn(load, this.#own);
+  }
+
+  /**
+   * Calls of others. `lastTurnEndedAt` is the wall time in milliseconds at which the program's last
+   * turn ended, if it ran at this target through any entry: a report from before still counts it.
+   */
+  others(lastTurnEndedAt = -Infinity): number {
+    const now = this.#clock.monotonic();
+    const sinceLastTurn = Math.max(0, this.#clock.now() - lastTurnEndedAt);
+    const isObservationFresh = now - this.#observed.receivedAt < REPORT_AGE_MILLISECONDS;
+    const { calls, receivedAt } = isObservationFresh ? this.#observed : this.#reported;
+    const countsLastTurn =
+      sinceLastTurn < REPORT_AGE_MILLISECONDS && receivedAt <= now - sinceLastTurn;
+    return countsLastTurn ? Math.max(0, calls - 1) : calls;
+  }
+
+  #setOwn(calls: number): void {
+    this.#own = calls;
+    this.#ownPeak.record(calls);
+  }
+
+  #withoutOwn({ running, waiting }: Load, own: number): OtherCallsReport {
+    return { calls: Math.max(0, running + waiting - own), receivedAt: this.#clock.monotonic() };
+  }
+}
--- a/src/entry/target-selection.ts
+++ b/src/entry/target-selection.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Service } from '../configuration';
 import type { RoutingRequest } from '../routing';
 import type { EntryContext } from './context';
-import type { AvailableTarget } from './directory';
+import type { AvailableTarget, LastTurn } from './directory';
 import { notRunRefusal } from './refusal';
 
 export interface RouteRequest extends RoutingRequest {
@@ -10,6 +10,7 @@
   readonly attemptNumber: number;
   /** Targets at which this call failed. */
   readonly excluded: ReadonlySet<string>;
+  readonly lastTurn: LastTurn | undefined;
 }
 
 /** Selects a target by the routing policy and logs the decision; refuses if none is available. */
@@ -19,7 +20,8 @@
   service: Service,
   request: RouteRequest,
 ): AvailableTarget {
-  const available = context.directory.available(configuration, service, request.excluded);
+  const { excluded, lastTurn } = request;
+  const available = context.directory.available(configuration, service, excluded, lastTurn);
   const choice = context.policy.choose(
     request,
     available.map((target) => target.candidate),
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -16,7 +16,7 @@
   claim: 'martenbay-claim',
   /** Credential that processes present to each other. */
   credential: 'martenbay-credential',
-  /** Load of a target when it admitted the call: `running,waiting`. */
+  /** Load of a target, with the call itself, when its response began: `running,waiting`. */
   load: 'martenbay-load',
 } as const;
 
--- a/src/routing/policy.ts
+++ b/src/routing/policy.ts
@@ -1,11 +1,10 @@
-import type { Load } from '../protocol';
-
 /** State of a target as known to one entry process. */
 export interface Candidate {
   readonly target: string;
-  readonly load: Load;
   /** Outstanding calls from this entry process to the target. */
   readonly ownCalls: number;
+  /** Outstanding calls of others at the target, as last reported. */
+  readonly otherCalls: number;
   /** One-way network latency from this entry process. */
   readonly networkLatencyMilliseconds: number;
 }
@@ -57,7 +56,7 @@
   return { target: best.target, reason: reasonFor(best), candidates };
 }
 
-/** Calls at a target: the larger of its reported load and this process's own outstanding calls. */
+/** Outstanding calls at a target. */
 export function outstandingCalls(candidate: Candidate): number {
-  return Math.max(candidate.load.running + candidate.load.waiting, candidate.ownCalls);
+  return candidate.ownCalls + candidate.otherCalls;
 }
--- a/src/sidecar/load.ts
+++ b/src/sidecar/load.ts
@@ -2,7 +2,6 @@
 import type { Configuration } from '../configuration';
 import { type Logger, messageOf } from '../core';
 import type { Load } from '../protocol';
-import type { TargetProxy } from './target-proxy';
 import type { TargetClient } from './target-client';
 
 const loadSchema = z.object({ running: z.int(), waiting: z.int() });
@@ -20,17 +19,16 @@
   );
 }
 
-/** Reads the load that an engine reports; falls back to the calls in flight at this sidecar. */
+/** Reads the load that an engine reports; undefined if the report can't be read. */
 export async function readEngineLoad(
   client: TargetClient,
-  proxy: TargetProxy,
   logger: Logger,
-): Promise<Load> {
+): Promise<Load | undefined> {
   try {
     const parsed = loadSchema.safeParse(await client.requestJson('GET', '/load'));
     if (parsed.success) return parsed.data;
   } catch (error) {
     logger.debug({ event: 'load-unreadable', error: messageOf(error) });
   }
-  return { running: proxy.running, waiting: 0 };
+  return undefined;
 }
--- a/src/sidecar/process.ts
+++ b/src/sidecar/process.ts
@@ -11,7 +11,6 @@
 import {
   ControlClient,
   HttpListener,
-  type Load,
   ControlSession,
   type WatchChanges,
   applyConfigurationChange,
@@ -22,6 +21,7 @@
 import { isEngine, readEngineLoad } from './load';
 import { OrderRunner } from './orders';
 import { TargetClient } from './target-client';
+import { TargetLoad } from './target-load';
 
 export interface SidecarProcessOptions {
   readonly settings: SidecarSettings;
@@ -43,7 +43,7 @@
   const configuration = new ActiveConfiguration();
   const targetClient = new TargetClient(sidecar['target-address'], clock);
   const controlClient = new ControlClient({ members: cluster.control, credential, clock });
-  let load: Load = { running: 0, waiting: 0 };
+  const load = new TargetLoad({ clock, reportMilliseconds: sidecar['load-milliseconds'] });
   let draining = false;
 
   const proxy = new TargetProxy({
@@ -53,7 +53,10 @@
     maxConcurrentCalls: sidecar['calls-at-once'],
     logger,
     metrics,
-    load: () => load,
+    load: () => load.current,
+    onRunningChange: (running) => {
+      load.recordForwarded(running);
+    },
   });
   metrics.gauge('calls_running', () => proxy.running);
   const orders = new OrderRunner({
@@ -89,7 +92,7 @@
       state: draining ? 'leaving' : 'serving',
       configurationNumber: configuration.number,
       target: sidecar.target,
-      load,
+      load: load.current,
     }),
     watchPosition: () => ({
       configurationNumber: configuration.deltaBaseNumber,
@@ -113,9 +116,8 @@
   lifeCycle.add(
     'load',
     new PeriodicTask(clock, sidecar['load-milliseconds'], async () => {
-      load = isEngine(configuration.current, sidecar.target)
-        ? await readEngineLoad(targetClient, proxy, logger)
-        : { running: proxy.running, waiting: 0 };
+      const reports = isEngine(configuration.current, sidecar.target);
+      load.recordReport(reports ? await readEngineLoad(targetClient, logger) : undefined);
     }),
   );
   lifeCycle.add('presence', controlSession);
--- a/src/sidecar/target-proxy.ts
+++ b/src/sidecar/target-proxy.ts
@@ -20,8 +20,9 @@
   readonly maxConcurrentCalls: number;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Load of the target as last read. */
   readonly load: () => Load;
+  /** Called with the number of admitted calls in flight when it changes. */
+  readonly onRunningChange?: (running: number) => void;
 }
 
 /** Largest response to a non-repeatable call that can be returned and retained. */
@@ -110,8 +111,14 @@
       ? this.#forwardNonRepeatable(request, response)
       : this.#forwardRepeatable(request, response);
     this.#inFlight.track(forwarding);
+    this.#reportRunning();
+    forwarding.then(this.#reportRunning, this.#reportRunning);
   }
 
+  readonly #reportRunning = () => {
+    this.#options.onRunningChange?.(this.running);
+  };
+
   /** Checks admission; returns `undefined` if the call is admitted. */
   #refusal(request: IncomingMessage): AdmissionRefusal | undefined {
     if (this.#draining) return notRun('the target is leaving');
--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -55,6 +55,8 @@
   readonly history: readonly Message[];
   readonly contextTokens: number;
   readonly lastTarget?: string | undefined;
+  /** Wall time in milliseconds; a leader of an earlier version does not report it. */
+  readonly lastTurnEndedAt?: number | undefined;
   /** Wall time in milliseconds. */
   readonly programDeadlineAt: number;
 }
--- a/src/state/programs.ts
+++ b/src/state/programs.ts
@@ -46,6 +46,7 @@
     nextSequence: 1,
     keys: new Map(),
     lastTarget: undefined,
+    lastTurnEndedAt: undefined,
     holders: [],
   };
   tables.putProgram(program);
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -114,6 +114,8 @@
   /** Sequences of steps by idempotency key. */
   readonly keys: ReadonlyMap<string, number>;
   readonly lastTarget: string | undefined;
+  /** When the last engine turn was completed; undefined also if an earlier version completed it. */
+  readonly lastTurnEndedAt: number | undefined;
   /** Targets that may have cached prompts of this program. */
   readonly holders: readonly string[];
 }
--- a/src/state/steps.ts
+++ b/src/state/steps.ts
@@ -117,6 +117,7 @@
     history: input.history.kind === 'append' ? historyContents(program) : [],
     contextTokens: program.contextTokens,
     lastTarget: program.lastTarget,
+    lastTurnEndedAt: program.lastTurnEndedAt,
     programDeadlineAt: program.deadlineAt,
   };
 }
@@ -188,6 +189,7 @@
     contextTokens: engineTurn ? used : program.contextTokens,
     nextSequence: Math.max(program.nextSequence, input.sequence + 1),
     lastTarget: engineTurn ? input.target : program.lastTarget,
+    lastTurnEndedAt: engineTurn ? context.at : program.lastTurnEndedAt,
   };
   const { sequence, requestDigest, attempt } = step;
   putStep(tables, updated, {
