A program's last turn is taken out of reports that a paused leader holds back

Callers saw a turn through another entry leave the engine that cached its history, if the control leader was suspended for a second or more after the turn before: once in four runs of tests/turn-placement with processes paused at random.

Cause: the last turn was taken out of an engine's reported load for a second, the interval of heartbeats, but a suspended leader renews no report. The decision showed a queue of 20 ms at the idle engine. Ruled out: the entry's own calls (it had none) and a lost target (both engines were candidates).

Change: the limit is the session timeout.

--- a/src/entry/target-calls.ts
+++ b/src/entry/target-calls.ts
@@ -13,6 +13,12 @@
  */
 const REPORT_AGE_MILLISECONDS = 1000;
 
+/**
+ * Time after which a report that still counts an ended call has been renewed, or its target is lost:
+ * the session timeout. A suspended leader renews no reports.
+ */
+const RENEWAL_MILLISECONDS = 3000;
+
 const NO_CALLS: OtherCallsReport = { calls: 0, receivedAt: -Infinity };
 
 /**
@@ -64,7 +70,7 @@
     const isObservationFresh = now - this.#observed.receivedAt < REPORT_AGE_MILLISECONDS;
     const { calls, receivedAt } = isObservationFresh ? this.#observed : this.#reported;
     const countsLastTurn =
-      sinceLastTurn < REPORT_AGE_MILLISECONDS && receivedAt <= now - sinceLastTurn;
+      sinceLastTurn < RENEWAL_MILLISECONDS && receivedAt <= now - sinceLastTurn;
     return countsLastTurn ? Math.max(0, calls - 1) : calls;
   }
 
