Entry: the route request itself says which targets are available

Cause: the last turn's target stood in a route request twice, as lastTarget and in lastTurn. Change: the directory reads excluded targets, the last target and the end of its turn from the request.

--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -4,11 +4,14 @@
 import type { Candidate } from '../routing';
 import { TargetCalls } from './target-calls';
 
-/** The last engine turn of the program that is placed. */
-export interface LastTurn {
-  readonly target: string;
-  /** Wall time in milliseconds, by the clock of a control host. */
-  readonly endedAt: number;
+/** What the directory needs to know of a call to list the targets for it. */
+export interface TargetQuery {
+  /** Targets at which the call failed. */
+  readonly excluded: ReadonlySet<string>;
+  /** Target of the program's last engine turn. */
+  readonly lastTarget: string | undefined;
+  /** When that turn ended: wall time in milliseconds, by the clock of a control host. */
+  readonly lastTurnEndedAt: number | undefined;
 }
 
 export interface AvailableTarget {
@@ -71,18 +74,17 @@
     this.#cooldownUntil.set(target, this.#clock.monotonic() + FAILURE_COOLDOWN_MILLISECONDS);
   }
 
-  /** Serving targets of a service without `excluded`; those in cooldown only if all are. */
+  /** Serving targets of a service that are not excluded; those in cooldown only if all are. */
   available(
     configuration: Configuration,
     service: Service,
-    excluded: ReadonlySet<string>,
-    lastTurn?: LastTurn,
+    query: TargetQuery,
   ): readonly AvailableTarget[] {
     const pool = configuration.pools.find((entry) => entry.name === service.pool);
     const serving = (pool?.targets ?? []).flatMap((target): readonly AvailableTarget[] => {
       const record = this.#records.get(target.name);
-      if (record?.state !== 'serving' || excluded.has(target.name)) return [];
-      return [this.#toAvailableTarget(configuration, target, record, lastTurn)];
+      if (record?.state !== 'serving' || query.excluded.has(target.name)) return [];
+      return [this.#toAvailableTarget(configuration, target, record, query)];
     });
     const now = this.#clock.monotonic();
     const notInCooldown = serving.filter(
@@ -102,17 +104,16 @@
     configuration: Configuration,
     target: Target,
     record: TargetRecord,
-    lastTurn: LastTurn | undefined,
+    { lastTarget, lastTurnEndedAt }: TargetQuery,
   ): AvailableTarget {
     const calls = this.#callsOf(target.name);
-    const lastTurnEndedAt = lastTurn?.target === target.name ? lastTurn.endedAt : undefined;
     return {
       target,
       incarnation: record.incarnation,
       candidate: {
         target: target.name,
         ownCalls: calls.own,
-        otherCalls: calls.others(lastTurnEndedAt),
+        otherCalls: calls.others(lastTarget === target.name ? lastTurnEndedAt : undefined),
         networkLatencyMilliseconds: this.#networkLatency(
           configuration,
           target['availability-zone'],
--- a/src/entry/engine-turn.ts
+++ b/src/entry/engine-turn.ts
@@ -109,21 +109,17 @@
   excluded: ReadonlySet<string>,
   attemptNumber: number,
 ) {
-  const { lastTarget, lastTurnEndedAt } = turn.run;
   try {
     return chooseTarget(context, turn.configuration, turn.service, {
       program: turn.program,
       service: turn.service.name,
       sequence: turn.run.sequence,
       attemptNumber,
-      lastTarget: lastTarget ?? undefined,
+      lastTarget: turn.run.lastTarget ?? undefined,
+      lastTurnEndedAt: turn.run.lastTurnEndedAt ?? undefined,
       contextTokens: turn.run.contextTokens,
       newTokens: turn.newTokens,
       excluded,
-      lastTurn:
-        lastTarget == null || lastTurnEndedAt == null
-          ? undefined
-          : { target: lastTarget, endedAt: lastTurnEndedAt },
     });
   } catch (error) {
     if (error instanceof Refusal) return error;
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -142,7 +142,7 @@
     contextTokens: 0,
     newTokens: 0,
     excluded,
-    lastTurn: undefined,
+    lastTurnEndedAt: undefined,
   });
 }
 
--- a/src/entry/target-selection.ts
+++ b/src/entry/target-selection.ts
@@ -1,16 +1,13 @@
 import type { Configuration, Service } from '../configuration';
 import type { RoutingRequest } from '../routing';
 import type { EntryContext } from './context';
-import type { AvailableTarget, LastTurn } from './directory';
+import type { AvailableTarget, TargetQuery } from './directory';
 import { notRunRefusal } from './refusal';
 
-export interface RouteRequest extends RoutingRequest {
+export interface RouteRequest extends RoutingRequest, TargetQuery {
   readonly sequence: number;
   /** Counts from 1. */
   readonly attemptNumber: number;
-  /** Targets at which this call failed. */
-  readonly excluded: ReadonlySet<string>;
-  readonly lastTurn: LastTurn | undefined;
 }
 
 /** Selects a target by the routing policy and logs the decision; refuses if none is available. */
@@ -20,8 +17,7 @@
   service: Service,
   request: RouteRequest,
 ): AvailableTarget {
-  const { excluded, lastTurn } = request;
-  const available = context.directory.available(configuration, service, excluded, lastTurn);
+  const available = context.directory.available(configuration, service, request);
   const choice = context.policy.choose(
     request,
     available.map((target) => target.candidate),
