Reported loads carry the time at which the leader received them

Cause: an entry that wakes reads the report of a load after the end of the turn that is counted in it, and took the report for newer than the turn.

Change: the leader notes when it received a load; the entry compares that with the end of the program's last turn, both by clocks of control hosts.

--- a/src/control/control-service.ts
+++ b/src/control/control-service.ts
@@ -131,7 +131,8 @@
   heartbeat(input: Heartbeat): Acknowledgement | NotLeader {
     if (!this.#serves) return this.#notLeader;
     const { registry, clock, notifier } = this.#options;
-    if (registry.recordHeartbeat(input, clock.monotonic())) notifier.notify(CHANGE_KEYS.directory);
+    const changed = registry.recordHeartbeat(input, clock.monotonic(), clock.now());
+    if (changed) notifier.notify(CHANGE_KEYS.directory);
     return ACKNOWLEDGED;
   }
 
--- a/src/control/node-registry.ts
+++ b/src/control/node-registry.ts
@@ -48,8 +48,11 @@
     return this.#version;
   }
 
-  /** Returns whether the directory of targets changed. */
-  recordHeartbeat(heartbeat: Heartbeat, now: number): boolean {
+  /**
+   * Returns whether the directory of targets changed. `now` is monotonic time and `wallTime` wall
+   * time, in milliseconds.
+   */
+  recordHeartbeat(heartbeat: Heartbeat, now: number, wallTime?: number): boolean {
     const key = keyOf(heartbeat.kind, heartbeat.name);
     this.#sessions.set(key, { heartbeat, receivedAt: now });
     if (heartbeat.kind === 'entry' || heartbeat.target === undefined) return false;
@@ -59,6 +62,7 @@
       state: this.#drainingTargets.has(heartbeat.target) ? 'leaving' : heartbeat.state,
       incarnation: heartbeat.incarnation,
       load: heartbeat.load ?? NO_LOAD,
+      loadReceivedAt: wallTime,
     });
   }
 
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -52,7 +52,7 @@
     this.#version = changes.version;
     for (const record of changes.targets) {
       this.#records.set(record.target, record);
-      this.#callsOf(record.target).recordReport(record.load);
+      this.#callsOf(record.target).recordReport(record.load, record.loadReceivedAt);
     }
   }
 
--- a/src/entry/target-calls.ts
+++ b/src/entry/target-calls.ts
@@ -1,10 +1,13 @@
 import { type Clock, RecentPeak } from '../core';
 import type { Load } from '../protocol';
 
-/** Calls of others at a target, and the monotonic time in milliseconds at which they were reported. */
+/** Calls of others at a target, according to one report. */
 interface OtherCallsReport {
   readonly calls: number;
+  /** Monotonic time at which this entry received the report, in milliseconds. */
   readonly receivedAt: number;
+  /** Wall time of the report in milliseconds, by the clock of the process that first received it. */
+  readonly reportedAt: number;
 }
 
 /**
@@ -19,7 +22,7 @@
  */
 const RENEWAL_MILLISECONDS = 3000;
 
-const NO_CALLS: OtherCallsReport = { calls: 0, receivedAt: -Infinity };
+const NO_CALLS: OtherCallsReport = { calls: 0, receivedAt: -Infinity, reportedAt: -Infinity };
 
 /**
  * Calls at one target, as known to one entry. A reported load counts all calls at the time of the
@@ -50,14 +53,17 @@
     this.#setOwn(this.#own - 1);
   }
 
-  /** Records the load from the leader, which may count own calls that have ended since. */
-  recordReport(load: Load): void {
-    this.#reported = this.#withoutOwn(load, this.#ownPeak.value);
+  /**
+   * Records the load that the leader received at `reportedAt`, wall time in milliseconds. It may
+   * count own calls that have ended since.
+   */
+  recordReport(load: Load, reportedAt = this.#clock.now()): void {
+    this.#reported = this.#withoutOwn(load, this.#ownPeak.value, reportedAt);
   }
 
   /** Records the load that came with the response head of an own call in flight. */
   recordObservation(load: Load): void {
-    this.#observed = this.#withoutOwn(load, this.#own);
+    this.#observed = this.#withoutOwn(load, this.#own, this.#clock.now());
   }
 
   /**
@@ -65,12 +71,11 @@
    * turn ended, if it ran at this target through any entry: a report from before still counts it.
    */
   others(lastTurnEndedAt = -Infinity): number {
-    const now = this.#clock.monotonic();
-    const sinceLastTurn = Math.max(0, this.#clock.now() - lastTurnEndedAt);
-    const isObservationFresh = now - this.#observed.receivedAt < REPORT_AGE_MILLISECONDS;
-    const { calls, receivedAt } = isObservationFresh ? this.#observed : this.#reported;
-    const countsLastTurn =
-      sinceLastTurn < RENEWAL_MILLISECONDS && receivedAt <= now - sinceLastTurn;
+    const observationAge = this.#clock.monotonic() - this.#observed.receivedAt;
+    const isObservationFresh = observationAge < REPORT_AGE_MILLISECONDS;
+    const { calls, reportedAt } = isObservationFresh ? this.#observed : this.#reported;
+    const sinceLastTurn = this.#clock.now() - lastTurnEndedAt;
+    const countsLastTurn = sinceLastTurn < RENEWAL_MILLISECONDS && reportedAt <= lastTurnEndedAt;
     return countsLastTurn ? Math.max(0, calls - 1) : calls;
   }
 
@@ -79,7 +84,8 @@
     this.#ownPeak.record(calls);
   }
 
-  #withoutOwn({ running, waiting }: Load, own: number): OtherCallsReport {
-    return { calls: Math.max(0, running + waiting - own), receivedAt: this.#clock.monotonic() };
+  #withoutOwn({ running, waiting }: Load, own: number, reportedAt: number): OtherCallsReport {
+    const calls = Math.max(0, running + waiting - own);
+    return { calls, receivedAt: this.#clock.monotonic(), reportedAt };
   }
 }
--- a/src/entry/tests/target-calls.test.ts
+++ b/src/entry/tests/target-calls.test.ts
@@ -71,6 +71,16 @@
       expect(calls.others(endedAt)).toBe(1);
     });
 
+    // Guards against a report that a suspended entry reads after the end of the turn in it.
+    it('is taken out of a report that arrives after its end', () => {
+      const reportedAt = clock.now();
+      clock.advance(50);
+      const endedAt = clock.now();
+      clock.advance(500);
+      calls.recordReport(running(1), reportedAt);
+      expect(calls.others(endedAt)).toBe(0);
+    });
+
     it('changes nothing if its end is unknown or nothing is reported', () => {
       expect(calls.others(clock.now())).toBe(0);
       calls.recordReport(running(1));
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -53,6 +53,11 @@
   readonly state: NodeState | 'lost';
   readonly incarnation: string;
   readonly load: Load;
+  /**
+   * When the leader received the load: wall time in milliseconds; absent in records of a leader of
+   * an earlier version.
+   */
+  readonly loadReceivedAt?: number | undefined;
 }
 
 /** Records changed since a version. `epoch`: term of the leader that assigned the version. */
--- a/tests/turn-placement.test.ts
+++ b/tests/turn-placement.test.ts
@@ -56,4 +56,18 @@
       reason: 'holds-history',
     });
   });
+
+  // Guards against a report that a suspended entry reads after the end of the turn in it.
+  it('stays at the engine, through an entry that was suspended meanwhile', async () => {
+    const [first, second] = system.entryUrls.map((url) => new Caller(url));
+    if (first === undefined || second === undefined) throw new Error('expected two entries');
+    system.child('entry-2').signal('SIGSTOP');
+    const program = await runReportedTurn(first);
+    system.child('entry-2').signal('SIGCONT');
+    expect(await second.sendTurn(program, 2, 'Thanks.')).toMatchObject({ status: 200 });
+    expect(placementOf(program, 2, 'entry-2')).toMatchObject({
+      choice: ENGINE,
+      reason: 'holds-history',
+    });
+  });
 });
