--- a/tests/turn-placement.test.ts
+++ b/tests/turn-placement.test.ts
@@ -37,37 +37,32 @@
     return program;
   }
 
-  function placementOf(program: string, sequence: number, entry: string): unknown {
-    return system
+  /** Sends the second turn of the program through an entry, and checks where it was placed. */
+  async function expectSecondTurnAtEngine(program: string, entry: string): Promise<void> {
+    expect(await callerOf(entry).sendTurn(program, 2, 'Thanks.')).toMatchObject({ status: 200 });
+    const placement = system
       .child(entry)
-      .lines.find((line) => line['program'] === program && line['sequence'] === sequence);
+      .lines.find((line) => line['program'] === program && line['sequence'] === 2);
+    expect(placement).toMatchObject({ choice: ENGINE, reason: 'holds-history' });
+  }
+
+  function callerOf(entry: string): Caller {
+    const index = system.layout.entries.findIndex(({ name }) => name === entry);
+    return new Caller(system.entryUrls[index] ?? '');
   }
 
   // Guards against a load report that still counts the program's own last turn: the next turn then
   // leaves the engine that caches its history.
   it.each(['entry-1', 'entry-2'])('stays at the engine, through %s', async (entry) => {
-    const [first, second] = system.entryUrls.map((url) => new Caller(url));
-    if (first === undefined || second === undefined) throw new Error('expected two entries');
-    const program = await runReportedTurn(first);
-    const caller = entry === 'entry-1' ? first : second;
-    expect(await caller.sendTurn(program, 2, 'Thanks.')).toMatchObject({ status: 200 });
-    expect(placementOf(program, 2, entry)).toMatchObject({
-      choice: ENGINE,
-      reason: 'holds-history',
-    });
+    const program = await runReportedTurn(callerOf('entry-1'));
+    await expectSecondTurnAtEngine(program, entry);
   });
 
   // Guards against a report that a suspended entry reads after the end of the turn in it.
   it('stays at the engine, through an entry that was suspended meanwhile', async () => {
-    const [first, second] = system.entryUrls.map((url) => new Caller(url));
-    if (first === undefined || second === undefined) throw new Error('expected two entries');
     system.child('entry-2').signal('SIGSTOP');
-    const program = await runReportedTurn(first);
+    const program = await runReportedTurn(callerOf('entry-1'));
     system.child('entry-2').signal('SIGCONT');
-    expect(await second.sendTurn(program, 2, 'Thanks.')).toMatchObject({ status: 200 });
-    expect(placementOf(program, 2, 'entry-2')).toMatchObject({
-      choice: ENGINE,
-      reason: 'holds-history',
-    });
+    await expectSecondTurnAtEngine(program, 'entry-2');
   });
 });
