--- a/src/state/configuration-state-machine.ts
+++ b/src/state/configuration-state-machine.ts
@@ -111,13 +111,12 @@
   *snapshot(): Generator<string> {
     const files = this.#accepted?.files;
     const digests = [...this.#digests];
+    const leavingHosts = this.#leavingHosts;
     if (files !== undefined) yield encode({ table: 'files', value: files });
     for (let start = 0; start < digests.length; start += DIGESTS_PER_ROW) {
       yield encode({ table: 'digests', value: digests.slice(start, start + DIGESTS_PER_ROW) });
     }
-    if (this.#leavingHosts.length > 0) {
-      yield encode({ table: 'digests', value: [], leavingHosts: this.#leavingHosts });
-    }
+    if (leavingHosts.length > 0) yield encode({ table: 'digests', value: [], leavingHosts });
   }
 
   restore(rows: readonly string[]): void {
