--- a/src/local/tests/local-session.test.ts
+++ b/src/local/tests/local-session.test.ts
@@ -3,6 +3,7 @@
 import { startTestSystem } from '../../../tests/local-system';
 
 describe('runSession with the local system', () => {
+  // Guards against turns that leave their engine, and other outcomes that depend on timing.
   it('writes the same text on every run', async () => {
     const normalizer = new Normalizer();
     const lines: string[] = [];
