Request lines say how each target's response arrived

Each attempt now records what delimits the response, how the connection had ended when the gateway decided, the bytes, and of event streams the complete events and whether the end lies inside one; the metric target_responses_total counts the same. No decision changes: the outcome still depends on a reset of the connection alone.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock } from '../core';
 import { MISDIRECTED_REQUEST_STATUS, type AttemptSummary } from '../decisions';
+import { type ResponseRecord, ResponseRecorder } from '../http';
 import type { TargetConnection } from '../targets';
 import { withoutConnectionHeaders } from './headers';
 import type { ResponseHead, WireFormat } from './wire-format';
@@ -54,6 +55,8 @@
   #status = 0;
   #headers: readonly string[] = [];
   #head: ResponseHead | undefined;
+  #recorder: ResponseRecorder | undefined;
+  #record: ResponseRecord | undefined;
   #bufferedBytes = 0;
   #hasBegun = false;
 
@@ -74,6 +77,11 @@
     });
   }
 
+  /** How the response has arrived by the end of the attempt; undefined if none has begun. */
+  get response(): ResponseRecord | undefined {
+    return this.#record;
+  }
+
   /** Closes the connection, so that the target stops; `run` resolves as `given-up`. */
   cancel(): void {
     if (this.#settled) return;
@@ -98,8 +106,12 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < SUCCESS_STATUS.from) return;
-    const { wire, requestId } = this.#options;
+    const { wire, requestId, receiver } = this.#options;
     this.#status = status;
+    this.#recorder = new ResponseRecorder({
+      headers,
+      expectsEventStream: receiver !== undefined && isSuccess(status),
+    });
     this.#head = wire.readResponse(headers);
     const raw = controller.rawHeaders;
     this.#headers = withoutConnectionHeaders(decodeRawHeaders(raw), () => false);
@@ -109,6 +121,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#settled) return;
+    this.#recorder?.push(chunk);
     const { receiver } = this.#options;
     if (receiver === undefined || !isSuccess(this.#status)) {
       this.#buffer(chunk);
@@ -122,7 +135,7 @@
   onResponseEnd(): void {
     const status = this.#status;
     const { receiver, connection } = this.#options;
-    if (connection.hasFailed()) {
+    if (connection.ending() === 'reset') {
       const reason = 'the connection was reset before the end of the answer';
       this.#settle({ kind: 'unknown', reason, began: this.#hasBegun });
     } else if (this.#head?.isNotRun === true || status === MISDIRECTED_REQUEST_STATUS) {
@@ -154,6 +167,7 @@
     if (this.#settled) return;
     this.#settled = true;
     const { connection } = this.#options;
+    this.#record = this.#recorder?.record(connection.ending());
     if (isComplete) connection.release();
     else {
       this.#controller?.abort(new Error(outcome.kind));
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,5 +1,6 @@
 import type { Clock, Metrics } from '../core';
 import { type DecisionSwitches, type HealthEvent, MISDIRECTED_REQUEST_STATUS } from '../decisions';
+import type { ResponseRecord } from '../http';
 import type { Placement, TargetConnectionPool, DurationAverages } from '../targets';
 import { type ResponseReceiver, Attempt, type AttemptOutcome } from './attempt';
 import type { Exchange } from './exchange';
@@ -26,6 +27,12 @@
   readonly onAttempt?: (attempt: Attempt, placement: Placement) => void;
 }
 
+interface AttemptResult {
+  readonly outcome: AttemptOutcome;
+  /** Undefined if no response has begun. */
+  readonly response: ResponseRecord | undefined;
+}
+
 /**
  * Makes one attempt at one target and records its outcome in the target's health, the log and the
  * metrics.
@@ -41,18 +48,19 @@
     const { clock, metrics, durations } = this.#options;
     const { exchange } = request;
     const sentAt = clock.monotonic();
-    const outcome = await this.#attempt(placement, request);
+    const { outcome, response } = await this.#attempt(placement, request);
     if (outcome.kind === 'answered' || outcome.kind === 'streamed') {
       durations.record(placement.state.target.service, clock.monotonic() - sentAt);
     }
     metrics.count(`attempts_total{outcome="${outcome.kind}"}`);
-    exchange.recordDecision(describeAttempt(placement, outcome));
+    if (response !== undefined) metrics.count(countedResponse(response));
+    exchange.recordDecision(describeAttempt(placement, outcome, response));
     const event = this.#healthEvent(outcome, exchange);
     if (event !== undefined) placement.state.recordOutcome(event);
     return outcome;
   }
 
-  async #attempt(placement: Placement, request: SendRequest): Promise<AttemptOutcome> {
+  async #attempt(placement: Placement, request: SendRequest): Promise<AttemptResult> {
     const { clock } = this.#options;
     const { exchange } = request;
     const { state } = placement;
@@ -66,7 +74,8 @@
     state.inFlight += 1;
     request.onAttempt?.(attempt, placement);
     try {
-      return await attempt.run();
+      const outcome = await attempt.run();
+      return { outcome, response: attempt.response };
     } finally {
       state.inFlight -= 1;
       removeDisconnectListener();
@@ -116,10 +125,16 @@
   }
 }
 
+function countedResponse({ framing, ending, eventStream }: ResponseRecord): string {
+  const endsInsideEvent = eventStream?.endsInsideEvent ?? false;
+  return `target_responses_total{framing="${framing}",ending="${ending}",inside_event="${String(endsInsideEvent)}"}`;
+}
+
 /** Fields of an attempt in the request's log line. */
 function describeAttempt(
   { state, cost, candidates, ages }: Placement,
   outcome: AttemptOutcome,
+  response: ResponseRecord | undefined,
 ): Record<string, unknown> {
   return {
     target: state.target.id,
@@ -130,5 +145,6 @@
     outcome: outcome.kind,
     ...('status' in outcome ? { status: outcome.status } : {}),
     ...('reason' in outcome ? { reason: outcome.reason } : {}),
+    response,
   };
 }
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -140,7 +140,7 @@
       handler.onRequestStart?.(controller, {});
       handler.onResponseError?.(controller, new Error('reset'));
     },
-    hasFailed: () => true,
+    ending: () => 'reset',
     release: () => undefined,
     discard: () => undefined,
   });
--- /dev/null
+++ b/src/http/connection-ending.ts
@@ -0,0 +1,36 @@
+import type { Socket } from 'node:net';
+
+/** How the other side has ended a connection; `reset` includes every error of the socket. */
+export type ConnectionEnding = 'open' | 'closed' | 'reset';
+
+/** Observes how a connection ends. HTTP clients do not report a reset after the response headers. */
+export class ConnectionMonitor {
+  static readonly #monitors = new WeakMap<Socket, ConnectionMonitor>();
+  #ending: ConnectionEnding = 'open';
+
+  /** Returns the monitor of a socket, which sees each event before listeners added earlier. */
+  static of(socket: Socket): ConnectionMonitor {
+    const monitor = this.#monitors.get(socket) ?? new ConnectionMonitor(socket);
+    this.#monitors.set(socket, monitor);
+    return monitor;
+  }
+
+  private constructor(socket: Socket) {
+    socket.prependListener('error', () => {
+      this.#end('reset');
+    });
+    // Node emits 'end' instead of an error for a reset that arrives together with data, because libuv
+    // only reports the hang-up. Such a socket has no remote address any more.
+    socket.prependListener('end', () => {
+      this.#end(socket.remoteAddress === undefined ? 'reset' : 'closed');
+    });
+  }
+
+  get ending(): ConnectionEnding {
+    return this.#ending;
+  }
+
+  #end(ending: ConnectionEnding): void {
+    if (this.#ending === 'open') this.#ending = ending;
+  }
+}
--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -1,7 +1,8 @@
-import { connect } from 'node:net';
+import { type Socket, connect } from 'node:net';
 import type { Client as ClientType, Dispatcher } from 'undici';
 import Client from 'undici/lib/dispatcher/client.js';
 import { type Component, type Logger, type Metrics, parseAddress } from '../core';
+import { type ConnectionEnding, ConnectionMonitor } from '../http';
 import type { TargetState } from './state';
 
 /** A target accepts a connection within about 1 ms. */
@@ -17,10 +18,10 @@
 export interface TargetConnection {
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void;
   /**
-   * Whether the connection ended with an error. undici reports a response that is delimited by the
-   * end of the connection as complete even if the connection was reset.
+   * How the target has ended the connection. undici reports a response that is delimited by the end of
+   * the connection as complete even if the connection was reset.
    */
-  hasFailed(): boolean;
+  ending(): ConnectionEnding;
   /** Returns the connection to the pool after a complete response, unless the target has restarted. */
   release(): void;
   /** Closes the connection, whose state is unknown. */
@@ -32,8 +33,8 @@
   readonly #logger: Logger;
   readonly #metrics: Metrics;
   readonly #idle = new Map<string, Client[]>();
-  /** Clients whose socket ended with an error. */
-  readonly #failed = new WeakSet<Client>();
+  /** Of the latest socket of each client. */
+  readonly #monitors = new WeakMap<Client, ConnectionMonitor>();
 
   constructor(logger: Logger, metrics: Metrics) {
     this.#logger = logger;
@@ -50,7 +51,7 @@
       dispatch: (options, handler) => {
         client.dispatch(options, handler);
       },
-      hasFailed: () => this.#failed.has(client),
+      ending: () => this.#monitors.get(client)?.ending ?? 'open',
       release: () => {
         if (isReturned) return;
         isReturned = true;
@@ -88,8 +89,8 @@
     this.#metrics.count('target_connections_opened_total');
     const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: createConnector(address, () => {
-        this.#failed.add(client);
+      connect: createConnector(address, (socket) => {
+        this.#monitors.set(client, ConnectionMonitor.of(socket));
       }),
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -121,12 +122,8 @@
 
 type Connector = Extract<ClientType.Options['connect'], (...parameters: never[]) => unknown>;
 
-/**
- * Creates a connector that reports socket errors before undici handles them. Node emits 'end'
- * instead of an error for a reset that arrives together with data, because libuv only reports the
- * hang-up. Such a socket has no remote address any more, unlike one that was closed regularly.
- */
-function createConnector(address: string, onError: () => void): Connector {
+/** Creates a connector that calls `onSocket` before undici adds its listeners to the socket. */
+function createConnector(address: string, onSocket: (socket: Socket) => void): Connector {
   const { host, port } = parseAddress(address);
   return (_options, callback) => {
     const socket = connect({ host, port, noDelay: true, timeout: CONNECT_TIMEOUT_MILLISECONDS });
@@ -138,10 +135,7 @@
     const onFailedConnect = (error: Error) => {
       callback(error, null);
     };
-    socket.on('error', onError);
-    socket.on('end', () => {
-      if (socket.remoteAddress === undefined) onError();
-    });
+    onSocket(socket);
     socket.once('timeout', onTimeout);
     socket.once('error', onFailedConnect);
     socket.once('connect', () => {
