--- /dev/null
+++ b/stand-ins/scripted-response.ts
@@ -0,0 +1,85 @@
+import type { Socket } from 'node:net';
+import type { Address, Component } from '../src/core';
+import { StandInServer, readText } from './http';
+
+/** A response written byte for byte, to end where a server's HTTP library would not let it end. */
+export interface ScriptedResponse {
+  /** What delimits the body (RFC 9112, section 6.3). */
+  readonly framing: 'length' | 'chunked' | 'connection';
+  /** Left out if undefined. */
+  readonly contentType?: string | undefined;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Each piece is written once the previous one has been handed to the system. */
+  readonly body: readonly string[];
+  /**
+   * `complete`: ends the body as its framing asks. `close` closes the connection in order and `reset`
+   * resets it; a chunked body then lacks its last chunk, one with a length its last bytes.
+   */
+  readonly ending: 'complete' | 'close' | 'reset';
+  /** Delays the ending, so that the receiver reads the body before it. */
+  readonly beforeEnding?: Promise<void> | undefined;
+}
+
+/** Bytes that are announced by `content-length` and never sent. */
+const MISSING_BYTES = 7;
+
+/** Writes a response with status 200 to a connection whose request has been read. */
+export async function sendScripted(socket: Socket, script: ScriptedResponse): Promise<void> {
+  await write(socket, formatHead(script));
+  for (const piece of script.body) await write(socket, formatPiece(script, piece));
+  await script.beforeEnding;
+  if (script.ending === 'complete' && script.framing === 'chunked')
+    await write(socket, '0\r\n\r\n');
+  if (script.ending === 'reset') socket.resetAndDestroy();
+  else socket.end();
+}
+
+function formatHead({ framing, contentType, headers, body, ending }: ScriptedResponse): string {
+  const length = Buffer.byteLength(body.join('')) + (ending === 'complete' ? 0 : MISSING_BYTES);
+  const fields = {
+    ...headers,
+    ...(contentType === undefined ? {} : { 'content-type': contentType }),
+    ...(framing === 'chunked' ? { 'transfer-encoding': 'chunked' } : {}),
+    ...(framing === 'length' ? { 'content-length': String(length) } : {}),
+    connection: 'close',
+  };
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}`);
+  return ['HTTP/1.1 200 OK', ...lines, '', ''].join('\r\n');
+}
+
+function formatPiece({ framing }: ScriptedResponse, piece: string): string {
+  if (framing !== 'chunked') return piece;
+  return `${Buffer.byteLength(piece).toString(16)}\r\n${piece}\r\n`;
+}
+
+function write(socket: Socket, text: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    socket.write(text, (error) => {
+      if (error) reject(error);
+      else resolve();
+    });
+  });
+}
+
+/** A server that responds to each request with the next script, and without one with an empty 200. */
+export class ScriptedServer implements Component {
+  readonly scripts: ScriptedResponse[] = [];
+  readonly #server: StandInServer;
+
+  constructor(address: Address) {
+    this.#server = new StandInServer(address, async (request, response) => {
+      await readText(request);
+      const script = this.scripts.shift();
+      if (script === undefined) response.end();
+      else await sendScripted(request.socket, script);
+    });
+  }
+
+  start(): Promise<void> {
+    return this.#server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.#server.stop();
+  }
+}
