--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock } from '../core';
 import { MISDIRECTED_REQUEST_STATUS, type AttemptSummary } from '../decisions';
-import { type ResponseRecord, ResponseRecorder } from '../http';
+import { type ResponseRecord, ResponseRecorder, findIncompleteness } from '../http';
 import type { TargetConnection } from '../targets';
 import { withoutConnectionHeaders } from './headers';
 import type { ResponseHead, WireFormat } from './wire-format';
@@ -108,13 +108,13 @@
     if (status < SUCCESS_STATUS.from) return;
     const { wire, requestId, receiver } = this.#options;
     this.#status = status;
-    this.#recorder = new ResponseRecorder({
-      headers,
-      expectsEventStream: receiver !== undefined && isSuccess(status),
-    });
+    const isStreamed = receiver !== undefined && isSuccess(status);
+    this.#recorder = new ResponseRecorder({ headers, expectsEventStream: isStreamed });
     this.#head = wire.readResponse(headers);
     const raw = controller.rawHeaders;
-    this.#headers = withoutConnectionHeaders(decodeRawHeaders(raw), () => false);
+    // Chunks delimit a streamed response, so that it can still be broken off after its last byte.
+    const isExcluded = (name: string) => isStreamed && name === 'content-length';
+    this.#headers = withoutConnectionHeaders(decodeRawHeaders(raw), isExcluded);
     const reason = findResponseFault(this.#head, status, requestId);
     if (reason !== undefined) this.#settle({ kind: 'unknown', reason, began: false });
   }
@@ -135,8 +135,9 @@
   onResponseEnd(): void {
     const status = this.#status;
     const { receiver, connection } = this.#options;
-    if (connection.ending() === 'reset') {
-      const reason = 'the connection was reset before the end of the answer';
+    const response = this.#recorder?.record(connection.ending());
+    const reason = response && findIncompleteness(response);
+    if (reason !== undefined) {
       this.#settle({ kind: 'unknown', reason, began: this.#hasBegun });
     } else if (this.#head?.isNotRun === true || status === MISDIRECTED_REQUEST_STATUS) {
       this.#settle({ kind: 'not-run', status }, true);
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,4 @@
+export { findIncompleteness } from './completeness';
 export { type ConnectionEnding, ConnectionMonitor } from './connection-ending';
 export { EventBoundary } from './event-boundary';
 export { type ResponseFraming, framingOf, isEventStream } from './response-framing';
