Gateway: callers of HTTP/1.0 see that an answer was broken off

What callers saw: a caller of HTTP/1.0 gets no chunks, so the close of its connection is the regular end of the body, and an answer that the gateway breaks off looked complete to it.

Fix: a response without chunks is broken off by a reset (src/http/break-off.ts).

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, Logger, Metrics } from '../core';
 import type { Refusal } from '../decisions';
+import { breakOff } from '../http';
 import type { Route } from '../routes';
 import type { Team } from '../teams';
 import type { RequestHead } from './wire-format';
@@ -140,10 +141,10 @@
     this.response.end(body);
   }
 
-  /** Closes the connection of a response that cannot be completed. */
+  /** Ends a response that cannot be completed so that no caller takes it for complete. */
   abort(reason: string): void {
     this.log('broken-off', { reason });
-    this.response.destroy();
+    breakOff(this.response);
   }
 
   log(outcome: string, details: Record<string, unknown> = {}): void {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,4 @@
+export { breakOff } from './break-off';
 export { findIncompleteness } from './completeness';
 export { type ConnectionEnding, ConnectionMonitor } from './connection-ending';
 export { EventBoundary } from './event-boundary';
