Gateway: a reset during a paused response no longer ends the process

What callers saw: one caller that reads slowly, and a target that resets its connection within an answer with 'Connection: close', with or without a length or chunks, ended the whole gateway and all its requests.

Cause: undici completes such a response at ECONNRESET in its parser, and asserts that the parser is not paused; the assertion fails in an event handler, so nobody catches it. Found while looking where it is decided that an answer is whole.

Evidence: src/gateway/tests/attempt fails before with 'Uncaught AssertionError' in Parser.finish (from onHttpSocketError and onHttpSocketClose).

Fix: the connector changes the code of the error before undici sees it, so that undici reports the error instead of an end.

--- /dev/null
+++ b/src/gateway/tests/attempt.test.ts
@@ -0,0 +1,74 @@
+import { type ScriptedResponse, ScriptedServer } from '../../../stand-ins';
+import { LifeCycle, Metrics, SystemClock, createSilentLogger, formatAddress } from '../../core';
+import { findFreeAddresses } from '../../local';
+import { TargetConnectionPool, TargetState } from '../../targets';
+import { Attempt, type AttemptOutcome } from '../attempt';
+import type { WireFormat } from '../wire-format';
+
+const CLOCK = new SystemClock();
+
+const WIRE = {
+  readResponse: () => ({
+    requestId: undefined,
+    isSigned: true,
+    isNotRun: false,
+    isEncoded: false,
+  }),
+} as unknown as WireFormat;
+
+// Guards against the process ending at a reset during a paused response that its connection delimits.
+describe('an attempt whose caller does not read', () => {
+  let lifeCycle: LifeCycle;
+  let target: ScriptedServer;
+  let connections: TargetConnectionPool;
+  let state: TargetState;
+
+  beforeEach(async () => {
+    const [address] = await findFreeAddresses(['127.0.0.1']);
+    if (address === undefined) throw new Error('findFreeAddresses returned no address');
+    target = new ScriptedServer(address);
+    connections = new TargetConnectionPool(createSilentLogger(), new Metrics());
+    const listed = { id: 't', service: 's', availabilityZone: 'a', slots: 1, draining: false };
+    state = new TargetState({ ...listed, address: formatAddress(address) }, CLOCK);
+    lifeCycle = new LifeCycle();
+    lifeCycle.add('target', target);
+    lifeCycle.add('connections', connections);
+    await lifeCycle.start();
+  });
+
+  afterEach(() => lifeCycle.stop());
+
+  /** Runs an attempt that is paused at its first piece; the target then ends the response. */
+  const runPaused = async (script: ScriptedResponse): Promise<AttemptOutcome> => {
+    let onPaused = (): void => undefined;
+    const beforeEnding = new Promise<void>((resolve) => {
+      onPaused = resolve;
+    });
+    target.scripts.push({ ...script, beforeEnding });
+    const attempt = new Attempt({
+      connection: connections.acquire(state),
+      wire: WIRE,
+      clock: CLOCK,
+      requestId: 'r',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: null,
+      receiver: {
+        begin: () => undefined,
+        write: () => {
+          onPaused();
+          return false;
+        },
+      },
+    });
+    return attempt.run();
+  };
+
+  it('ends when the target resets the connection', async () => {
+    for (const framing of ['connection', 'chunked', 'length'] as const) {
+      const script = { framing, body: ['data: a\n\n'], ending: 'reset' } as const;
+      expect([framing, await runPaused(script)]).toMatchObject([framing, { kind: 'unknown' }]);
+    }
+  });
+});
--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -122,6 +122,14 @@
 
 type Connector = Extract<ClientType.Options['connect'], (...parameters: never[]) => unknown>;
 
+/**
+ * undici ends a response at ECONNRESET if its connection is not kept alive, and fails an assertion if
+ * the response is paused by then. Another code makes it report the error instead.
+ */
+function preventCompletionByReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') error.code = 'UND_ERR_SOCKET';
+}
+
 /** Creates a connector that calls `onSocket` before undici adds its listeners to the socket. */
 function createConnector(address: string, onSocket: (socket: Socket) => void): Connector {
   const { host, port } = parseAddress(address);
@@ -136,6 +144,7 @@
       callback(error, null);
     };
     onSocket(socket);
+    socket.on('error', preventCompletionByReset);
     socket.once('timeout', onTimeout);
     socket.once('error', onFailedConnect);
     socket.once('connect', () => {
