Sidecar: answers cut by a reset are no longer delivered or kept as whole

What callers saw: an answer without length or chunks whose connection was reset within it reached the caller as whole; for a call that may not be repeated the sidecar kept the part as the call's answer and gave it to every later request. A stream of events that ended inside an event likewise.

Cause: Node's HTTP client ends such a body regularly at any error of its connection.

Fix: the sidecar calls its target through src/http/http-client.ts, whose bodies fail at their end if the judgement of src/http/completeness.ts says so. Streams of events lose their content-length on the way, so that they can be broken off after their last byte. 'call-failed' says how the response arrived.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,7 +1,9 @@
 export { breakOff } from './break-off';
+export { IncompleteResponseError, checkedBody, forwardBody } from './checked-body';
 export { findIncompleteness } from './completeness';
 export { type ConnectionEnding, ConnectionMonitor } from './connection-ending';
 export { EventBoundary } from './event-boundary';
+export { type HttpCall, HttpClient, type HttpResponse } from './http-client';
 export { type ResponseFraming, framingOf, isEventStream } from './response-framing';
 export {
   type EventStreamRecord,
--- a/src/sidecar/target-client.ts
+++ b/src/sidecar/target-client.ts
@@ -1,6 +1,7 @@
-import { Agent, type IncomingHttpHeaders, type IncomingMessage, request } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import { type Address, type Clock, MartenbayError, messageOf, startTimeout } from '../core';
+import { HttpClient, type HttpResponse } from '../http';
 
 /** The target did not respond to a call, or its response can't be retained. */
 export class TargetError extends MartenbayError {
@@ -33,7 +34,7 @@
 export class TargetClient {
   readonly #address: Address;
   readonly #clock: Clock;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #http = new HttpClient();
 
   constructor(address: Address, clock: Clock) {
     this.#address = address;
@@ -41,26 +42,13 @@
   }
 
   /** Resolves once the response headers arrived; the caller reads the body. */
-  send(call: TargetRequest): Promise<IncomingMessage> {
-    const { method, path, headers, body, freshConnection, signal } = call;
-    return new Promise((resolve, reject) => {
-      const outgoing = request({
-        host: this.#address.host,
-        port: this.#address.port,
-        agent: freshConnection ? false : this.#agent,
-        method,
-        path,
-        headers,
-        signal,
-      });
-      outgoing.once('response', resolve);
-      outgoing.once('error', (error: NodeJS.ErrnoException) => {
-        const notRun = CONNECT_ERRORS.has(error.code ?? '');
-        reject(new TargetError(`the target gave no answer: ${messageOf(error)}`, notRun, error));
-      });
-      if (typeof body === 'string') outgoing.end(body);
-      else body.pipe(outgoing);
-    });
+  async send(call: TargetRequest): Promise<HttpResponse> {
+    try {
+      return await this.#http.send({ ...call, address: this.#address });
+    } catch (error) {
+      const notRun = CONNECT_ERRORS.has((error as NodeJS.ErrnoException).code ?? '');
+      throw new TargetError(`the target gave no answer: ${messageOf(error)}`, notRun, error);
+    }
   }
 
   /**
@@ -81,15 +69,15 @@
         freshConnection: false,
         signal: controller.signal,
       });
-      const text = (await readBody(response, MAX_JSON_BYTES))?.toString() ?? '';
-      return response.statusCode === 200 ? (JSON.parse(text) as unknown) : undefined;
+      const text = (await readBody(response.body, MAX_JSON_BYTES))?.toString() ?? '';
+      return response.status === 200 ? (JSON.parse(text) as unknown) : undefined;
     } finally {
       cancel();
     }
   }
 
   stop(): void {
-    this.#agent.destroy();
+    this.#http.stop();
   }
 }
 
@@ -100,10 +88,7 @@
  * Reads a body to its end. Resolves with `undefined` if it is larger than `limitBytes`; the excess
  * is read and discarded.
  */
-export async function readBody(
-  stream: IncomingMessage,
-  limitBytes: number,
-): Promise<Buffer | undefined> {
+export async function readBody(stream: Readable, limitBytes: number): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of stream as AsyncIterable<Buffer>) {
--- a/src/sidecar/target-proxy.ts
+++ b/src/sidecar/target-proxy.ts
@@ -1,6 +1,12 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream/promises';
 import { InFlightTracker, type Logger, type Metrics, equalSecrets, messageOf } from '../core';
+import {
+  type HttpResponse,
+  IncompleteResponseError,
+  breakOff,
+  forwardBody,
+  isEventStream,
+} from '../http';
 import {
   ATTEMPT_PREFIX,
   CALL_PREFIX,
@@ -144,12 +150,12 @@
     });
     try {
       const targetResponse = await this.#send(request, false, controller.signal);
-      response.writeHead(
-        targetResponse.statusCode ?? 502,
-        this.#responseHeaders(targetResponse.headers),
-      );
+      const headers = this.#responseHeaders(targetResponse.headers);
+      // Chunks delimit a stream of events, so that it can still be broken off after its last byte.
+      if (isEventStream(targetResponse.headers)) delete headers['content-length'];
+      response.writeHead(targetResponse.status, headers);
       response.flushHeaders();
-      await pipeline(targetResponse, response);
+      await forwardBody(targetResponse.body, response);
     } catch (error) {
       this.#fail(response, error);
     }
@@ -160,8 +166,8 @@
     const attempt = String(request.headers[HEADERS.attempt]);
     try {
       const targetResponse = await this.#send(request, true, new AbortController().signal);
-      const body = await readBody(targetResponse, MAX_RESPONSE_BYTES);
-      const status = targetResponse.statusCode ?? 502;
+      const { status } = targetResponse;
+      const body = await readBody(targetResponse.body, MAX_RESPONSE_BYTES);
       const contentType = targetResponse.headers['content-type'] ?? 'application/octet-stream';
       this.#attempts.complete(attempt, body && toCallAnswer(status, contentType, body));
       if (body === undefined) throw new TargetError('the answer is too large to keep', false);
@@ -178,7 +184,7 @@
     request: IncomingMessage,
     freshConnection: boolean,
     signal: AbortSignal,
-  ): Promise<IncomingMessage> {
+  ): Promise<HttpResponse> {
     const headers = Object.fromEntries(
       Object.entries(request.headers).filter(([name]) => !UNFORWARDED_HEADERS.has(name)),
     );
@@ -200,11 +206,12 @@
     return { ...Object.fromEntries(forwarded), [HEADERS.load]: formatLoad(this.#options.load()) };
   }
 
-  #fail(response: ServerResponse, error: unknown): void {
+  #fail(outgoing: ServerResponse, error: unknown): void {
     const notRun = error instanceof TargetError && error.notRun;
-    this.#options.logger.warn({ event: 'call-failed', notRun, error: messageOf(error) });
-    if (response.headersSent) response.destroy();
-    else refuse(response, 502, notRun ? 'not-run' : 'unknown', messageOf(error));
+    const response = error instanceof IncompleteResponseError ? error.response : undefined;
+    this.#options.logger.warn({ event: 'call-failed', notRun, error: messageOf(error), response });
+    if (outgoing.headersSent) breakOff(outgoing);
+    else refuse(outgoing, 502, notRun ? 'not-run' : 'unknown', messageOf(error));
   }
 }
 
--- a/src/sidecar/tests/broken-off-responses.test.ts
+++ b/src/sidecar/tests/broken-off-responses.test.ts
@@ -18,6 +18,7 @@
   { framing: 'length', body: ['part'], ending: 'close' },
   { ...STREAM, body: ['data: a\n\n', 'data: b'], ending: 'close' },
   { ...STREAM, framing: 'chunked', body: ['data: a\n\n', 'data: b'], ending: 'complete' },
+  { ...STREAM, framing: 'length', body: ['data: a\n\n', 'data: b'], ending: 'complete' },
 ];
 
 const WHOLE: readonly ScriptedResponse[] = [
