Entry: answers of an old address that are cut by a reset are broken off

What callers saw: a call of a service with 'pass-through' whose old address reset its connection within an answer without length or chunks got the part as a whole answer; likewise a stream of events that ended inside one.

Cause: undici completes such an answer at ECONNRESET.

Fix: the call goes through src/http/http-client.ts, like the sidecar's.

--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -7,6 +7,7 @@
   type Timeout,
   startTimeout,
 } from '../core';
+import type { HttpClient } from '../http';
 import { type ControlClient, ControlUnavailableError } from '../protocol';
 import type { RoutingPolicy } from '../routing';
 import type { EntrySettings } from '../settings';
@@ -24,6 +25,8 @@
   readonly control: ControlClient;
   readonly directory: TargetDirectory;
   readonly sidecars: SidecarClient;
+  /** Calls the existing deployments of pass-through services. */
+  readonly oldAddresses: HttpClient;
   readonly programIds: ProgramIdGenerator;
   readonly policy: RoutingPolicy;
   readonly clock: Clock;
--- a/src/entry/pass-through.ts
+++ b/src/entry/pass-through.ts
@@ -1,8 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import { request } from 'undici';
 import type { Service } from '../configuration';
 import { formatAddress, messageOf } from '../core';
+import { forwardBody } from '../http';
 import type { EntryContext } from './context';
 import { Refusal, notRunRefusal } from './refusal';
 
@@ -62,15 +61,18 @@
     reason: 'pass-through',
   });
   try {
-    const upstream = await request(`http://${formatAddress(address)}${path}`, {
+    const headers = endToEndHeaders(incoming.headers);
+    const upstream = await context.oldAddresses.send({
+      address,
       method: incoming.method ?? 'GET',
-      headers: endToEndHeaders(incoming.headers),
-      body: body.length === 0 ? null : body,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+      path,
+      headers: body.length === 0 ? headers : { ...headers, 'content-length': String(body.length) },
+      body,
+      // A new connection that is refused proves that the call did not run.
+      freshConnection: true,
     });
-    response.writeHead(upstream.statusCode, endToEndHeaders(upstream.headers));
-    await pipeline(upstream.body, response);
+    response.writeHead(upstream.status, endToEndHeaders(upstream.headers));
+    await forwardBody(upstream.body, response);
   } catch (error) {
     const connectionRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
     throw new Refusal({
--- a/src/entry/process.ts
+++ b/src/entry/process.ts
@@ -1,6 +1,7 @@
 import { ActiveConfiguration } from '../configuration';
 import { type Clock, LifeCycle, type Logger, Metrics, type RandomSource } from '../core';
 import { LatencyHistograms } from '../core/latency-histograms';
+import { HttpClient } from '../http';
 import {
   ControlClient,
   HttpListener,
@@ -34,6 +35,7 @@
   const directory = new TargetDirectory(host['availability-zone'], clock);
   const control = new ControlClient({ members: cluster.control, credential, clock });
   const sidecars = new SidecarClient(credential);
+  const oldAddresses = new HttpClient();
   let draining = false;
   const context: EntryContext = {
     identity: `${host.name}/${incarnation}`,
@@ -42,6 +44,7 @@
     control,
     directory,
     sidecars,
+    oldAddresses,
     programIds: new ProgramIdGenerator({
       groups: programGroups(cluster),
       availabilityZone: host['availability-zone'],
@@ -89,6 +92,7 @@
   const lifeCycle = new LifeCycle();
   lifeCycle.add('control-client', control);
   lifeCycle.add('sidecar-client', sidecars);
+  lifeCycle.add('old-address-client', oldAddresses);
   lifeCycle.add('presence', controlSession);
   lifeCycle.add('listener', listener);
   lifeCycle.add('drain', {
--- a/tests/broken-off-responses.test.ts
+++ b/tests/broken-off-responses.test.ts
@@ -56,6 +56,7 @@
       { framing: 'chunked', body: ['part'], ending: 'close' },
       { framing: 'length', body: ['part'], ending: 'close' },
       { ...STREAM, body: ['data: a\n\n', 'data: b'], ending: 'close' },
+      { ...STREAM, framing: 'length', body: ['data: a\n\n', 'data: b'], ending: 'complete' },
     ];
 
     it('is incomplete for the caller', async () => {
