A pause during a planned stop no longer cuts off answers that have arrived

Cause: that time is a timer, and Node runs a timer that came due during a pause before it reads sockets. Ruled out: that one read of the sockets is enough.

Fix: a timer that fires late shows the pause; what it lasted beyond the deadline, 200 ms at most, is waited again (src/nodes/drain-wait.ts).

--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { type ClusterClient, LeaderConfirmation } from '../cluster';
 import {
-  type Clock,
   type Issue,
   LifeCycle,
   type Logger,
@@ -33,6 +32,7 @@
 import { createEngineSharing } from './engine-sharing';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeContext, type NodeContextOptions } from './node-context';
+import { waitForIdle } from './drain-wait';
 import { PauseMonitor } from './pause-monitor';
 import type { NodeSettings } from './node-settings';
 import { createTeamAccessControl } from './team-access-control';
@@ -246,23 +246,16 @@
       const acceptMilliseconds = Math.min(DRAIN_ACCEPT_MILLISECONDS, totalMilliseconds / 2);
       await delay(clock, acceptMilliseconds);
       server.refuseNewRequests();
-      await waitForIdle(server, clock, totalMilliseconds - acceptMilliseconds);
+      await waitForIdle({
+        clock,
+        milliseconds: totalMilliseconds - acceptMilliseconds,
+        whenIdle: () => server.whenIdle(),
+      });
       await leadershipTransfer;
     },
   };
 }
 
-/** Resolves once no request is in flight, or after `milliseconds`. */
-function waitForIdle(server: GatewayServer, clock: Clock, milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    const cancel = clock.after(milliseconds, resolve);
-    void server.whenIdle().then(() => {
-      cancel();
-      resolve();
-    });
-  });
-}
-
 function addHttpEndpoint(
   { logger }: NodeContext,
   lifeCycle: LifeCycle,
