--- a/src/sidecar/tests/target-proxy.test.ts
+++ b/src/sidecar/tests/target-proxy.test.ts
@@ -1,58 +1,24 @@
 import { request } from 'undici';
 import { PlainServer, plainSettingsSchema } from '../../../stand-ins';
-import { LifeCycle, Metrics, SystemClock, createSilentLogger, formatAddress } from '../../core';
-import { findFreeAddresses } from '../../local';
-import { HttpListener } from '../../protocol';
-import { TargetProxy } from '../target-proxy';
-import { TargetClient } from '../target-client';
-
-const CREDENTIAL = 'process-credential';
+import { SystemClock, formatAddress } from '../../core';
+import { CREDENTIAL, type ProxyFixture, startProxy } from './proxy-fixture';
 
 describe('TargetProxy', () => {
-  const clock = new SystemClock();
-  let lifeCycle: LifeCycle;
-  let url: string;
-  let proxy: TargetProxy;
+  let fixture: ProxyFixture;
 
   beforeEach(async () => {
-    const [proxyAddress, target] = await findFreeAddresses(['127.0.0.1', '127.0.0.1']);
-    if (proxyAddress === undefined || target === undefined)
-      throw new Error('findFreeAddresses returned fewer than 2 addresses');
-    url = `http://${formatAddress(proxyAddress)}`;
-    const client = new TargetClient(target, clock);
-    proxy = new TargetProxy({
-      client,
-      incarnation: 'second',
-      credential: CREDENTIAL,
-      maxConcurrentCalls: 2,
-      logger: createSilentLogger(),
-      metrics: new Metrics(),
-      load: () => ({ running: 0, waiting: 0 }),
+    fixture = await startProxy((address) => {
+      const settings = plainSettingsSchema.parse({ address: formatAddress(address) });
+      return new PlainServer(settings, new SystemClock());
     });
-    lifeCycle = new LifeCycle();
-    lifeCycle.add(
-      'target',
-      new PlainServer(plainSettingsSchema.parse({ address: formatAddress(target) }), clock),
-    );
-    lifeCycle.add('client', client);
-    lifeCycle.add(
-      'listener',
-      new HttpListener({
-        address: proxyAddress,
-        handle: (incoming, response) => {
-          proxy.handle(incoming, response);
-        },
-      }),
-    );
-    await lifeCycle.start();
   });
 
   afterEach(async () => {
-    await lifeCycle.stop();
+    await fixture.lifeCycle.stop();
   });
 
   async function send(path: string, headers: Readonly<Record<string, string>>) {
-    const reply = await request(`${url}${path}`, {
+    const reply = await request(`${fixture.url}${path}`, {
       method: 'POST',
       headers: { 'martenbay-credential': CREDENTIAL, ...headers },
       body: 'x',
@@ -91,7 +57,7 @@
   });
 
   it('refuses calls after drain', async () => {
-    await proxy.drain();
+    await fixture.proxy.drain();
     expect(await call('a')).toMatchObject({ status: 503, outcome: 'not-run' });
   });
 });
--- a/stand-ins/scripted-response.ts
+++ b/stand-ins/scripted-response.ts
@@ -20,6 +20,36 @@
   readonly beforeEnding?: Promise<void> | undefined;
 }
 
+const EVENT_STREAM = 'text/event-stream';
+
+/** Responses of every framing that end before they are complete. */
+export const BROKEN_OFF_RESPONSES: readonly ScriptedResponse[] = [
+  { framing: 'connection', body: ['part'], ending: 'reset' },
+  { framing: 'chunked', body: ['part'], ending: 'reset' },
+  { framing: 'chunked', body: ['part'], ending: 'close' },
+  { framing: 'length', body: ['part'], ending: 'reset' },
+  { framing: 'length', body: ['part'], ending: 'close' },
+  ...(['connection', 'chunked', 'length'] as const).map((framing) => ({
+    framing,
+    contentType: EVENT_STREAM,
+    body: ['data: a\n\n', 'data: b'],
+    ending: 'complete' as const,
+  })),
+];
+
+/** Responses of every framing that are complete. */
+export const WHOLE_RESPONSES: readonly ScriptedResponse[] = (
+  ['connection', 'chunked', 'length'] as const
+).flatMap((framing) => [
+  { framing, body: ['who', 'le'], ending: 'complete' },
+  {
+    framing,
+    contentType: EVENT_STREAM,
+    body: ['data: a\n', '\ndata: b\n\n'],
+    ending: 'complete',
+  },
+]);
+
 /** Bytes that are announced by `content-length` and never sent. */
 const MISSING_BYTES = 7;
 
--- a/tests/broken-off-responses.test.ts
+++ b/tests/broken-off-responses.test.ts
@@ -1,11 +1,14 @@
-import { type ScriptedResponse, ScriptedServer } from '../stand-ins';
+import {
+  BROKEN_OFF_RESPONSES,
+  type ScriptedResponse,
+  ScriptedServer,
+  WHOLE_RESPONSES,
+} from '../stand-ins';
 import { formatAddress } from '../src/core';
 import { type LocalSystem, findFreeAddresses } from '../src/local';
 import { Caller } from './caller';
 import { startTestSystem } from './local-system';
 
-const STREAM = { contentType: 'text/event-stream', framing: 'connection' } as const;
-
 // Guards against a response that the old address broke off being delivered as a complete one.
 describe('a response of the old address of a service', () => {
   let system: LocalSystem;
@@ -49,36 +52,15 @@
     }
   };
 
-  describe('that was broken off', () => {
-    const scripts: readonly ScriptedResponse[] = [
-      { framing: 'connection', body: ['part'], ending: 'reset' },
-      { framing: 'chunked', body: ['part'], ending: 'reset' },
-      { framing: 'chunked', body: ['part'], ending: 'close' },
-      { framing: 'length', body: ['part'], ending: 'close' },
-      { ...STREAM, body: ['data: a\n\n', 'data: b'], ending: 'close' },
-      { ...STREAM, framing: 'length', body: ['data: a\n\n', 'data: b'], ending: 'complete' },
-    ];
-
-    it('is incomplete for the caller', async () => {
-      for (const script of scripts)
-        expect([script, await call(script)]).toEqual([script, 'broken off']);
-    });
+  it('is incomplete for the caller, if it was broken off', async () => {
+    for (const script of BROKEN_OFF_RESPONSES)
+      expect([script, await call(script)]).toEqual([script, 'broken off']);
   });
 
-  describe('that is whole', () => {
-    it('is delivered, also without a length or chunks', async () => {
-      for (const framing of ['connection', 'chunked', 'length'] as const) {
-        for (const stream of [{}, STREAM]) {
-          const script = {
-            ...stream,
-            framing,
-            body: ['data: a\n', '\n'],
-            ending: 'complete',
-          } as const;
-          const whole = { status: 200, text: 'data: a\n\n' };
-          expect([script, await call(script)]).toEqual([script, whole]);
-        }
-      }
-    });
+  it('is delivered, if it is whole, also without a length or chunks', async () => {
+    for (const script of WHOLE_RESPONSES) {
+      const whole = { status: 200, text: script.body.join('') };
+      expect([script, await call(script)]).toEqual([script, whole]);
+    }
   });
 });
