Timers that came due during a pause run after the sockets have been read

What callers saw: 504 for a call, also one that may not be repeated, whose answer had arrived while the gateway's process was paused beyond the deadline.

Cause: Node runs due timers before it reads sockets, so after a pause every timeout wins against an answer that lies in the kernel.

Fix: a timer that fires more than 50 ms late waits for one pass of the event loop (SystemClock.after).

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -11,6 +11,9 @@
   after(milliseconds: number, action: () => void): CancelTimer;
 }
 
+/** Delay of a timer above which the process has been paused; longer than delays due to load. */
+const PAUSE_THRESHOLD_MILLISECONDS = 50;
+
 export class SystemClock implements Clock {
   now(): number {
     return Date.now();
@@ -20,10 +23,22 @@
     return performance.now();
   }
 
+  /**
+   * Node runs a timer that came due during a pause of the process before it reads sockets. A timer
+   * that fires so late waits until they have been read, so that a timeout does not win against an
+   * answer that has arrived.
+   */
   after(milliseconds: number, action: () => void): CancelTimer {
-    const timer = setTimeout(action, milliseconds);
+    const dueAt = this.monotonic() + milliseconds;
+    let immediate: NodeJS.Immediate | undefined;
+    const timer = setTimeout(() => {
+      const isAfterPause = this.monotonic() - dueAt > PAUSE_THRESHOLD_MILLISECONDS;
+      if (isAfterPause) immediate = setImmediate(action);
+      else action();
+    }, milliseconds);
     return () => {
       clearTimeout(timer);
+      clearImmediate(immediate);
     };
   }
 }
