--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -12,7 +12,7 @@
 }
 
 /** Delay of a timer above which the process has been paused; longer than delays due to load. */
-const PAUSE_THRESHOLD_MILLISECONDS = 50;
+export const PAUSE_THRESHOLD_MILLISECONDS = 50;
 
 export class SystemClock implements Clock {
   now(): number {
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -2,6 +2,7 @@
 export {
   type CancelTimer,
   type Clock,
+  PAUSE_THRESHOLD_MILLISECONDS,
   SystemClock,
   type Timeout,
   delay,
--- a/src/http/connection-ending.ts
+++ b/src/http/connection-ending.ts
@@ -3,7 +3,10 @@
 /** How the other side has ended a connection; `reset` includes every error of the socket. */
 export type ConnectionEnding = 'open' | 'closed' | 'reset';
 
-/** Observes how a connection ends. HTTP clients do not report a reset after the response headers. */
+/**
+ * Observes how a connection ends. HTTP clients take a reset within a response that its connection
+ * delimits for the end of the response.
+ */
 export class ConnectionMonitor {
   static readonly #monitors = new WeakMap<Socket, ConnectionMonitor>();
   #ending: ConnectionEnding = 'open';
--- a/src/http/http-client.ts
+++ b/src/http/http-client.ts
@@ -38,8 +38,8 @@
         signal,
       });
       outgoing.once('response', (response) => {
-        const { statusCode = 0, headers } = response;
-        resolve({ status: statusCode, headers, body: checkedBody(response) });
+        const { statusCode = 0 } = response;
+        resolve({ status: statusCode, headers: response.headers, body: checkedBody(response) });
       });
       outgoing.once('error', reject);
       if (typeof body === 'string' || Buffer.isBuffer(body)) outgoing.end(body);
--- a/src/nodes/drain-wait.ts
+++ b/src/nodes/drain-wait.ts
@@ -1,7 +1,4 @@
-import type { Clock } from '../core';
-
-/** Delay of a timer above which the process has been paused; longer than delays due to load. */
-const PAUSE_THRESHOLD_MILLISECONDS = 50;
+import { type Clock, PAUSE_THRESHOLD_MILLISECONDS } from '../core';
 
 /** Covers reading the answers that have arrived and recording their turns. */
 const MAX_EXTENSION_MILLISECONDS = 200;
