--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -1,7 +1,7 @@
 import type { StoreView, ViewMember } from '../cluster';
 import { delay, messageOf } from '../core';
 import type { ChainCache } from './chain-cache';
-import type { ChainAnswer } from './contract';
+import type { ChainAnswer, RecordAnswer } from './contract';
 import { TurnsUnavailableError } from './errors';
 import { queryInOrder } from './member-queries';
 import type { TurnRecord } from './records';
@@ -48,13 +48,19 @@
   }
 
   /**
-   * Resolves once a completed turn is durable at a quorum. Writes to the program's preferred
-   * replicas first, and to the other stores if one of those is late or fails.
+   * Resolves once a completed turn is durable at a quorum of complete stores. Writes to the
+   * program's preferred replicas first, and to the other stores if one of those is late, fails or is
+   * incomplete.
+   *
+   * A new view removes one store and adds one, so a quorum that counts the added store could be
+   * disjoint from one of the former view. The added store is complete only once a quorum of the
+   * former view serves the new one.
    */
   async record(record: TurnRecord, deadline: number): Promise<void> {
     const stores = this.#stores;
-    await stores.queryQuorum<{ readonly kind: 'kept' }>({
+    await stores.queryQuorum<RecordAnswer>({
       deadline,
+      isCounted: ({ complete }) => complete !== false,
       hedge: (view) => ({
         order: stores.responsiveFirst(stores.rank(view, record.program)),
         initialCount: view.quorum,
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -41,6 +41,12 @@
   readonly record: TurnRecord;
 }
 
+export interface RecordAnswer {
+  readonly kind: 'kept';
+  /** Whether the store has completed its backfill; absent on stores of a former build. */
+  readonly complete?: boolean;
+}
+
 export interface ChainRequest extends ViewRequest {
   readonly turn: string;
 }
@@ -81,7 +87,7 @@
     };
     readonly 'turns.record': {
       readonly request: RecordRequest;
-      readonly answer: { readonly kind: 'kept' } | ViewMismatch;
+      readonly answer: RecordAnswer | ViewMismatch;
     };
     readonly 'turns.chain': {
       readonly request: ChainRequest;
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -13,6 +13,7 @@
   ChainRequest,
   PullAnswer,
   PullRequest,
+  RecordAnswer,
   RecordRequest,
   ReservationsAnswer,
   ReserveRequest,
@@ -155,10 +156,10 @@
     return { kind: 'reservations', complete: this.#isComplete, reservations };
   }
 
-  #record({ epoch, record }: RecordRequest): Promise<{ readonly kind: 'kept' } | ViewMismatch> {
+  #record({ epoch, record }: RecordRequest): Promise<RecordAnswer | ViewMismatch> {
     return this.#inCurrentView(epoch, async () => {
       await this.#options.journal.add([{ kind: 'turn', record }]);
-      return { kind: 'kept' } as const;
+      return { kind: 'kept', complete: this.#isComplete } as const;
     });
   }
 
