--- /dev/null
+++ b/src/turns/tests/backfill.test.ts
@@ -0,0 +1,79 @@
+import { SeededRandom } from '../../core';
+import { StoreGroup, createRecord } from './store-group';
+
+const FIRST_MEMBERS = ['s1', 's2', 's3', 's4', 's5'];
+
+const NEXT_MEMBERS = ['s1', 's2', 's3', 's4', 's6'];
+
+/** Larger than a page of a pull. */
+const LARGE_INPUT = Buffer.alloc(300 * 1024);
+
+const IDS = ['t1', 't2', 't3', 't4'];
+
+/** A group in which s6, which reaches all but the named stores, has joined in place of s5. */
+async function joinStore(unreachable: readonly string[]) {
+  const group = new StoreGroup();
+  for (const name of [...FIRST_MEMBERS, 's6']) await group.start(name);
+  const first = group.viewOf(1, FIRST_MEMBERS);
+  await group.offer(first, FIRST_MEMBERS);
+  const client = group.client('g', first);
+  for (const id of IDS) {
+    const deadline = group.clock.monotonic() + 1000;
+    await group.outcomeOf(client.record(createRecord(id, { input: LARGE_INPUT }), deadline));
+  }
+  group.cut('s6', unreachable);
+  await group.offer(group.viewOf(2, NEXT_MEMBERS, { s6: 2 }), NEXT_MEMBERS);
+  return group;
+}
+
+function heldBy(group: StoreGroup, name: string): readonly string[] {
+  const { table } = group.store(name).journal;
+  return IDS.filter((id) => table.has(id));
+}
+
+// Guards against a store that counts as complete without all turns recorded before it joined.
+describe('the backfill of a store that joins', () => {
+  describe('with a quorum of complete members in reach', () => {
+    it('ends with all turns, which fill several pages', async () => {
+      const group = await joinStore(['s4']);
+      expect(group.store('s6').journal.completeFor).toBe(2);
+      expect(heldBy(group, 's6')).toEqual(IDS);
+    });
+
+    it('still has them after a power loss', async () => {
+      const group = await joinStore([]);
+      group.disk('s6').losePower(new SeededRandom(2));
+      await group.start('s6');
+      expect(group.store('s6').journal.completeFor).toBe(2);
+      expect(heldBy(group, 's6')).toEqual(IDS);
+    });
+  });
+
+  describe('with one member less than a quorum in reach', () => {
+    it('does not end', async () => {
+      const group = await joinStore(['s3', 's4']);
+      expect(group.store('s6').journal.completeFor).toBe(0);
+    });
+
+    it('ends once another one is in reach', async () => {
+      const group = await joinStore(['s3', 's4']);
+      group.cut('s6', ['s4']);
+      await group.settle();
+      expect(group.store('s6').journal.completeFor).toBe(2);
+      expect(heldBy(group, 's6')).toEqual(IDS);
+    });
+  });
+
+  describe('with incomplete members', () => {
+    it('does not count them as sources', async () => {
+      const group = await joinStore(['s1', 's2', 's3', 's4']);
+      for (const name of ['s7', 's8']) await group.start(name);
+      const members = ['s1', 's2', 's6', 's7', 's8'];
+      const joined = { s6: 2, s7: 3, s8: 4 };
+      for (const name of ['s6', 's7', 's8']) group.cut(name, ['s1']);
+      await group.offer(group.viewOf(4, members, joined), members);
+      const completeFor = ['s6', 's7', 's8'].map((name) => group.store(name).journal.completeFor);
+      expect(completeFor).toEqual([0, 0, 0]);
+    });
+  });
+});
--- a/src/turns/tests/store-epochs.test.ts
+++ b/src/turns/tests/store-epochs.test.ts
@@ -4,6 +4,7 @@
 import { SegmentedStore } from '../../storage';
 import { MemoryDisk } from '../../storage/tests/memory-disk';
 import { Backfill, TurnJournal, TurnStore } from '..';
+import { flushEventLoop } from './simulated-cluster';
 
 const RECORD = {
   id: 't1',
@@ -64,6 +65,65 @@
     });
   });
 
+  describe('when a request names an epoch that the store does not know yet', () => {
+    it('rejects the request', async () => {
+      const { store, view, journal } = await createStore(new MemoryDisk());
+      view.offer(viewOf(1, journal.dataLife));
+      const answer = await store.calls['turns.record']?.({ epoch: 2, record: RECORD });
+      expect(answer).toEqual({ kind: 'behind' });
+      expect(journal.table.has(RECORD.id)).toBe(false);
+    });
+  });
+
+  // Guards against a store that serves an older epoch again after a power loss.
+  describe('while its view is not durable yet', () => {
+    it('answers no request of that epoch', async () => {
+      const disk = new MemoryDisk();
+      const { store, view, journal } = await createStore(disk);
+      disk.paused = true;
+      view.offer(viewOf(1, journal.dataLife));
+      let hasAnswered = false;
+      const answer = Promise.resolve(store.calls['turns.chain']?.({ epoch: 1, turn: 't0' }));
+      void answer.then(() => (hasAnswered = true));
+      await flushEventLoop();
+      expect(hasAnswered).toBe(false);
+      disk.paused = false;
+      disk.releaseOperations();
+      expect(await answer).toMatchObject({ kind: 'chain' });
+    });
+
+    it('rejects a request that waited until a newer view arrived', async () => {
+      const disk = new MemoryDisk();
+      const { store, view, journal } = await createStore(disk);
+      disk.paused = true;
+      view.offer(viewOf(1, journal.dataLife));
+      const answer = store.calls['turns.record']?.({ epoch: 1, record: RECORD });
+      view.offer(viewOf(2, journal.dataLife));
+      disk.paused = false;
+      disk.releaseOperations();
+      expect(await answer).toMatchObject({ kind: 'stale', view: { epoch: 2 } });
+      expect(journal.table.has(RECORD.id)).toBe(false);
+    });
+  });
+
+  // Guards against a store that answers as complete with the rows of an earlier membership only.
+  describe('when the store rejoins with its disk after it was replaced', () => {
+    it('is incomplete until it has been filled again', async () => {
+      const { store, view, journal } = await createStore(new MemoryDisk());
+      const { dataLife } = journal;
+      view.offer(viewOf(1, dataLife));
+      await flushEventLoop();
+      const before = await store.calls['turns.chain']?.({ epoch: 1, turn: 't0' });
+      const [self] = viewOf(3, dataLife).members;
+      const other = { ...self, name: 's2', address: 's2', dataLife: 'other', joined: 1 };
+      const members = [{ ...self, joined: 3 }, other] as StoreView['members'];
+      view.offer({ epoch: 3, members, quorum: 1 });
+      await flushEventLoop();
+      const after = await store.calls['turns.chain']?.({ epoch: 3, turn: 't0' });
+      expect([before, after]).toMatchObject([{ complete: true }, { complete: false }]);
+    });
+  });
+
   describe('restarted with an empty disk', () => {
     it('does not serve a view that lists an earlier incarnation of its data folder', async () => {
       const disk = new MemoryDisk();
--- a/src/turns/tests/store-group.ts
+++ b/src/turns/tests/store-group.ts
@@ -89,9 +89,9 @@
     this.#unreachable.set(from, new Set(names));
   }
 
-  client(name: string, view: StoreView): TurnClient {
+  client(name: string, view: StoreView | undefined): TurnClient {
     const latest = new LatestValue<StoreView>(({ epoch }) => epoch);
-    latest.offer(view);
+    if (view !== undefined) latest.offer(view);
     return new TurnClient({
       availabilityZone: '',
       view: latest,
