--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -69,6 +69,7 @@
 
 export interface PullAnswer {
   readonly kind: 'rows';
+  /** Whether the store has completed its backfill and knows the session. */
   readonly complete: boolean;
   readonly rows: readonly TurnRow[];
   readonly final: boolean;
--- a/src/turns/pull-sessions.ts
+++ b/src/turns/pull-sessions.ts
@@ -13,6 +13,15 @@
   usedAt: number;
 }
 
+export interface PullPage {
+  readonly rows: readonly TurnRow[];
+  readonly final: boolean;
+  /** Whether the requester has to start a new session. */
+  readonly interrupted: boolean;
+}
+
+const INTERRUPTED: PullPage = { rows: [], final: false, interrupted: true };
+
 /** Serves the backfills of other stores from a copy of the row list per session. */
 export class PullSessions {
   readonly #table: TurnTable;
@@ -24,16 +33,16 @@
     this.#clock = clock;
   }
 
-  /** Rows added after the session began are left out: the requester receives them as a member. */
-  readPage({ filling: sessionId, offset, held: excludedTurnIds }: PullRequest): {
-    readonly rows: readonly TurnRow[];
-    readonly final: boolean;
-  } {
+  /**
+   * Rows added after the session began are left out: the requester receives them as a member. A
+   * session that was evicted, or began before a restart, is interrupted: offsets in a new list could
+   * skip rows.
+   */
+  readPage({ filling: sessionId, offset, held: excludedTurnIds }: PullRequest): PullPage {
     this.#evictIdle();
-    const session = this.#sessions.get(sessionId) ?? {
-      rows: this.#rowsWithout(excludedTurnIds),
-      usedAt: 0,
-    };
+    const known = this.#sessions.get(sessionId);
+    if (known === undefined && offset > 0) return INTERRUPTED;
+    const session = known ?? { rows: this.#rowsWithout(excludedTurnIds), usedAt: 0 };
     session.usedAt = this.#clock.monotonic();
     this.#sessions.set(sessionId, session);
     let end = offset;
@@ -41,7 +50,7 @@
       bytes += sizeOf(session.rows[end]);
     }
     const final = end >= session.rows.length;
-    return { rows: session.rows.slice(offset, end), final };
+    return { rows: session.rows.slice(offset, end), final, interrupted: false };
   }
 
   #rowsWithout(turnIds: readonly string[]): readonly TurnRow[] {
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -182,8 +182,8 @@
 
   #pull(request: PullRequest): Promise<PullAnswer | ViewMismatch> {
     return this.#inCurrentView(request.epoch, () => {
-      const { rows, final } = this.#pullSessions.readPage(request);
-      return { kind: 'rows', complete: this.#isComplete, rows, final } as const;
+      const { rows, final, interrupted } = this.#pullSessions.readPage(request);
+      return { kind: 'rows', complete: this.#isComplete && !interrupted, rows, final } as const;
     });
   }
 
