--- a/src/turns/table.ts
+++ b/src/turns/table.ts
@@ -82,13 +82,15 @@
     return before - this.#turns.size;
   }
 
-  /** Ids of the turns within their retention and of all their ancestors. */
+  /**
+   * Ids of the turns within their retention, of all their ancestors, and of the other turns of their
+   * programs: a store may lack a turn between one that is retained and an ancestor that it holds.
+   */
   #retainedTurns(now: number): ReadonlySet<string> {
+    const programs = this.#retainedPrograms(now);
     const retained = new Set<string>();
     for (const record of this.#turns.values()) {
-      const keptUntil =
-        record.endedAt + record.retentionSeconds * 1000 + RETENTION_MARGIN_MILLISECONDS;
-      if (keptUntil < now) continue;
+      if (!programs.has(record.program)) continue;
       for (
         let ancestor: TurnRecord | undefined = record;
         ancestor !== undefined && !retained.has(ancestor.id);
@@ -100,6 +102,16 @@
     return retained;
   }
 
+  /** Programs with a turn within its retention. */
+  #retainedPrograms(now: number): ReadonlySet<string> {
+    const programs = new Set<string>();
+    for (const { program, endedAt, retentionSeconds } of this.#turns.values()) {
+      const keptUntil = endedAt + retentionSeconds * 1000 + RETENTION_MARGIN_MILLISECONDS;
+      if (keptUntil >= now) programs.add(program);
+    }
+    return programs;
+  }
+
   #addTurn(record: TurnRecord): boolean {
     const { id, program, tokens, endedAt, retentionSeconds } = record;
     this.#applyReservation(program, { turn: id, tokens, settled: true }, endedAt);
