--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -30,6 +30,7 @@
   readonly #disconnectListeners = new Set<() => void>();
   readonly #decisions: Record<string, unknown>[] = [];
   #hasDisconnected = false;
+  #isClosed = false;
   /** Time from arrival to the start of a target's response. */
   #firstByteMilliseconds: number | undefined;
   #route: Route | undefined;
@@ -76,6 +77,17 @@
     };
   }
 
+  /**
+   * Resolves once a response that was ended has been handed to the operating system, or its
+   * connection is closed.
+   */
+  async whenWritten(): Promise<void> {
+    if (!this.response.writableEnded || this.#isClosed) return;
+    await new Promise<void>((resolve) => {
+      this.response.once('close', resolve);
+    });
+  }
+
   /** Adds a decision to the request's log line. */
   recordDecision(decision: Record<string, unknown>): void {
     this.#decisions.push(decision);
@@ -187,6 +199,7 @@
   }
 
   #close(): void {
+    this.#isClosed = true;
     if (this.response.writableFinished) return;
     this.#hasDisconnected = true;
     for (const listener of this.#disconnectListeners) listener();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,6 +8,7 @@
   messageOf,
 } from '../core';
 import type { Refusal } from '../decisions';
+import { IdleConnections } from '../http';
 import type { CallerLimits, RouteTable } from '../routes';
 import { handleCall } from './call-handler';
 import { Exchange } from './exchange';
@@ -44,6 +45,7 @@
 export class GatewayServer implements Component {
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
+  readonly #idleConnections: IdleConnections;
   readonly #activeExchanges = new Set<Exchange>();
   #isDraining = false;
   #onIdle: () => void = () => undefined;
@@ -60,6 +62,7 @@
         void this.#serve(request, response);
       },
     );
+    this.#idleConnections = new IdleConnections(this.#server);
     options.metrics.gauge('requests_under_way', () => this.#activeExchanges.size);
   }
 
@@ -88,10 +91,10 @@
   refuseNewRequests(): void {
     this.#isDraining = true;
     this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#idleConnections.close();
   }
 
-  /** Resolves once no request is in progress. */
+  /** Resolves once no request is in progress and all responses have been written. */
   whenIdle(): Promise<void> {
     if (this.#activeExchanges.size === 0) return Promise.resolve();
     return new Promise((resolve) => {
@@ -117,6 +120,7 @@
       logger.error({ event: 'request-failed', request: exchange.head.id, error: messageOf(error) });
       exchange.abort('internal error of the gateway');
     } finally {
+      await exchange.whenWritten();
       this.#activeExchanges.delete(exchange);
       if (this.#activeExchanges.size === 0) this.#onIdle();
     }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -4,6 +4,7 @@
 export { type ConnectionEnding, ConnectionMonitor } from './connection-ending';
 export { EventBoundary } from './event-boundary';
 export { type HttpCall, HttpClient, type HttpResponse } from './http-client';
+export { IdleConnections } from './idle-connections';
 export { type ResponseFraming, framingOf, isEventStream } from './response-framing';
 export {
   type EventStreamRecord,
--- a/src/protocol/http-listener.ts
+++ b/src/protocol/http-listener.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import type { Address, Component, Metrics } from '../core';
+import { IdleConnections } from '../http';
 
 export interface HealthSource {
   /** Reason why the process is not ready; undefined when it is. */
@@ -48,11 +49,13 @@
 export class HttpListener implements Component {
   readonly server: Server;
   readonly #address: Address;
+  readonly #idleConnections: IdleConnections;
 
   constructor(options: HttpListenerOptions) {
     const { address, handle, headerLimitBytes = 16_384 } = options;
     this.#address = address;
     this.server = createServer({ maxHeaderSize: headerLimitBytes, noDelay: true }, handle);
+    this.#idleConnections = new IdleConnections(this.server);
   }
 
   start(): Promise<void> {
@@ -71,7 +74,7 @@
       this.server.close(() => {
         resolve();
       });
-      this.server.closeIdleConnections();
+      this.#idleConnections.close();
     });
   }
 }
