--- /dev/null
+++ b/src/gateway/tests/unsent-response.test.ts
@@ -0,0 +1,138 @@
+import { type Socket, connect } from 'node:net';
+import { type Address, Metrics, SystemClock, createSilentLogger } from '../../core';
+import { findFreeAddresses } from '../../local';
+import { RouteTable } from '../../routes';
+import {
+  type Forwarder,
+  GatewayServer,
+  type QuotaGate,
+  UNLIMITED_ADMISSION,
+  type WireFormat,
+} from '..';
+
+/** More than the socket buffers of both sides hold together. */
+const BODY = Buffer.alloc(32 * 1024 * 1024, 'x');
+
+const WIRE: WireFormat = {
+  readRequest: () => ({
+    id: 'r1',
+    timeoutMilliseconds: undefined,
+    key: undefined,
+    program: undefined,
+    programMilliseconds: undefined,
+    budget: undefined,
+    previousTurn: undefined,
+    promptTokens: 0,
+    maxTokens: 0,
+    parts: [],
+  }),
+  readResponse: () => ({ requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false }),
+  buildTargetHeaders: () => [],
+};
+
+const TABLE = new RouteTable({
+  version: 1,
+  routes: [
+    {
+      name: 'r',
+      host: 'h',
+      pathPrefix: '/',
+      kind: 'repeatable',
+      timeoutMilliseconds: 10_000,
+      targetLatencyMilliseconds: 100,
+      priority: 0,
+      services: [{ service: 's', weight: 1 }],
+      attempts: 1,
+      isResumable: false,
+      retentionSeconds: undefined,
+      isPublic: false,
+    },
+  ],
+  services: [],
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 1000,
+    headerMilliseconds: 3000,
+    idleMilliseconds: 15_000,
+  },
+  teams: undefined,
+});
+
+function createServer(address: Address): GatewayServer {
+  const headers = ['content-length', String(BODY.length)];
+  const forward = () => Promise.resolve({ kind: 'answered', status: 200, headers, body: BODY });
+  return new GatewayServer({
+    address,
+    wire: WIRE,
+    forwarder: { forward } as unknown as Forwarder,
+    turnHandler: { handle: () => Promise.resolve() },
+    keyGuard: { admit: () => Promise.resolve(undefined) },
+    quotaGate: { requestAdmission: () => UNLIMITED_ADMISSION } as unknown as QuotaGate,
+    routes: () => TABLE,
+    isReady: () => true,
+    clock: new SystemClock(),
+    logger: createSilentLogger(),
+    metrics: new Metrics(),
+  });
+}
+
+/** Sends a request and stops reading once the response has begun. */
+function requestAndPause({ host, port }: Address): Promise<Socket> {
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host, port }, () =>
+      socket.write('GET /a HTTP/1.1\r\nhost: h\r\n\r\n'),
+    );
+    socket.once('error', reject);
+    socket.once('readable', () => {
+      resolve(socket);
+    });
+  });
+}
+
+/** Number of bytes that arrive until the connection ends. */
+function countRemainingBytes(socket: Socket): Promise<number> {
+  return new Promise((resolve) => {
+    let count = 0;
+    socket.on('data', (chunk: Buffer) => {
+      count += chunk.length;
+      if (count > BODY.length) resolve(count);
+    });
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      resolve(count);
+    });
+  });
+}
+
+// Guards against a planned stop that cuts off a response which a slow caller is still reading.
+describe('a gateway whose caller reads its response slowly', () => {
+  let server: GatewayServer;
+  let socket: Socket;
+
+  beforeEach(async () => {
+    const [address] = await findFreeAddresses(['127.0.0.1']);
+    if (address === undefined) throw new Error('no free address');
+    server = createServer(address);
+    await server.start();
+    socket = await requestAndPause(address);
+  });
+
+  afterEach(() => {
+    socket.destroy();
+    server.stop();
+  });
+
+  it('delivers the whole response when new requests are refused meanwhile', async () => {
+    server.refuseNewRequests();
+    expect(await countRemainingBytes(socket)).toBeGreaterThan(BODY.length);
+  });
+
+  it('is not idle before the whole response has been sent', async () => {
+    let isIdle = false;
+    void server.whenIdle().then(() => (isIdle = true));
+    await new Promise(setImmediate);
+    expect(isIdle).toBe(false);
+    expect(await countRemainingBytes(socket)).toBeGreaterThan(BODY.length);
+    await server.whenIdle();
+  });
+});
--- /dev/null
+++ b/src/nodes/tests/run.test.ts
@@ -0,0 +1,129 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { LifeCycle } from '../../core';
+import { collectLog } from '../../core/tests/collected-log';
+import { runNode } from '..';
+import type { NodeContext } from '../node-context';
+
+const SETTINGS = `
+[node]
+name = "g1"
+availability-zone = "a"
+address = "127.0.0.1:7000"
+first-start = true
+seeds = ["10.0.0.1:1"]
+tolerated-losses = 1
+stop-seconds = 8
+[listen]
+[target-list]
+address = "127.0.0.1:7001"
+calls-per-second = 10
+`;
+
+const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
+/** Runs the callbacks that are pending in the event loop. */
+function flushEventLoop(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+describe('runNode', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'run-'));
+  const file = join(folder, 'settings.toml');
+  let events: string[];
+  let finishDrain: () => void;
+  let lifeCycle: LifeCycle;
+  let seeds: () => readonly string[];
+  let handlersDuringStart: Readonly<Record<string, number>>;
+
+  const countHandlers = () =>
+    Object.fromEntries(SIGNALS.map((signal) => [signal, process.listenerCount(signal)]));
+
+  beforeEach(async () => {
+    events = [];
+    finishDrain = () => undefined;
+    writeFileSync(file, SETTINGS);
+    for (const signal of SIGNALS) process.removeAllListeners(signal);
+    jest.spyOn(process, 'exit').mockImplementation(((code: number) => {
+      events.push(`exit ${code}`);
+    }) as unknown as typeof process.exit);
+    await runNode(file, ({ currentSettings }) => {
+      seeds = () => currentSettings().node.seeds;
+      lifeCycle = new LifeCycle();
+      lifeCycle.add('component', {
+        start: () => {
+          handlersDuringStart = countHandlers();
+        },
+        stop: () => {
+          events.push('stopped');
+        },
+      });
+      const context = { logger: collectLog().logger, logOutput: { stop: () => undefined } };
+      return {
+        context: context as unknown as NodeContext,
+        lifeCycle,
+        drain: () =>
+          new Promise((resolve) => {
+            events.push('draining');
+            finishDrain = resolve;
+          }),
+      };
+    });
+  });
+
+  afterEach(async () => {
+    finishDrain();
+    await lifeCycle.stop();
+    await flushEventLoop();
+    for (const signal of SIGNALS) process.removeAllListeners(signal);
+    jest.restoreAllMocks();
+  });
+
+  afterAll(() => {
+    rmSync(folder, { recursive: true });
+  });
+
+  // Guards against a planned stop that cuts off requests in flight.
+  describe('on SIGTERM', () => {
+    it('drains, then stops the components, then exits', async () => {
+      process.emit('SIGTERM');
+      await flushEventLoop();
+      expect(events).toEqual(['draining']);
+      finishDrain();
+      await flushEventLoop();
+      expect(events).toEqual(['draining', 'stopped', 'exit 0']);
+    });
+
+    it('handles the signal when it is repeated, which would end the process otherwise', () => {
+      process.emit('SIGTERM');
+      expect(process.listenerCount('SIGTERM')).toBeGreaterThan(0);
+      process.emit('SIGTERM');
+      expect(events).toEqual(['draining']);
+    });
+  });
+
+  // Guards against a change of the settings that ends the process.
+  describe('on SIGHUP', () => {
+    it('applies the settings file and goes on', async () => {
+      writeFileSync(file, SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
+      process.emit('SIGHUP');
+      await flushEventLoop();
+      expect(seeds()).toEqual(['10.0.0.2:1']);
+      expect(events).toEqual([]);
+    });
+
+    it('applies the settings file while draining', async () => {
+      process.emit('SIGTERM');
+      writeFileSync(file, SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
+      process.emit('SIGHUP');
+      await flushEventLoop();
+      expect(seeds()).toEqual(['10.0.0.2:1']);
+      expect(events).toEqual(['draining']);
+    });
+
+    it('is handled while the components start', () => {
+      expect(handlersDuringStart['SIGHUP']).toBeGreaterThan(0);
+    });
+  });
+});
