--- a/src/cluster/tests/state-cache.test.ts
+++ b/src/cluster/tests/state-cache.test.ts
@@ -1,5 +1,5 @@
 import { createSilentLogger } from '../../core';
-import type { Compaction, RecordStore } from '../../storage';
+import type { Compaction, RecordStore, StoredRecords } from '../../storage';
 import { ClusterStateCache, LatestValue, type StoreView, type VersionedConfiguration } from '..';
 
 const VIEW: StoreView = { epoch: 3, members: [], quorum: 2 };
@@ -9,7 +9,7 @@
   records: string[] = [];
   failsAppends = false;
 
-  load() {
+  load(): Promise<StoredRecords> {
     return Promise.resolve({ snapshot: undefined, records: [...this.records] });
   }
 
@@ -67,6 +67,25 @@
     expect((await startProcess(store)).configuration.version).toBe(20);
   });
 
+  it('provides the last view after a compaction', async () => {
+    const store = new MemoryRecords();
+    const { configuration, view } = await startProcess(store);
+    view.offer(VIEW);
+    const text = 'x'.repeat(1024 * 1024);
+    for (let version = 1; version <= 20; version += 1) configuration.offer({ version, text });
+    expect((await startProcess(store)).view.value).toEqual(VIEW);
+  });
+
+  it('provides the values of a snapshot', async () => {
+    const store = new MemoryRecords();
+    const configuration = JSON.stringify({ configuration: { version: 4, text: 'four' } });
+    const snapshot = [configuration, JSON.stringify({ view: VIEW })];
+    store.load = () => Promise.resolve({ snapshot, records: [] });
+    const restarted = await startProcess(store);
+    expect(restarted.configuration.value).toEqual({ version: 4, text: 'four' });
+    expect(restarted.view.value).toEqual(VIEW);
+  });
+
   it('does not prevent a configuration change when the disk rejects writes', async () => {
     const store = new MemoryRecords();
     store.failsAppends = true;
--- a/src/cluster/tests/state-machine.test.ts
+++ b/src/cluster/tests/state-machine.test.ts
@@ -57,6 +57,9 @@
       apply(machine, { kind: 'retire', store: 's', state: 'running' });
       const copy = createMachine();
       copy.restore([...machine.snapshot()]);
+      expect(copy.configuration).toEqual({ version: 5, text: 'a\nb' });
+      expect(copy.view).toEqual(VIEW);
+      expect([...copy.retirements]).toEqual([['s', 'running']]);
       expect([...copy.snapshot()]).toEqual([...machine.snapshot()]);
     });
   });
--- a/src/cluster/tests/view-plan.test.ts
+++ b/src/cluster/tests/view-plan.test.ts
@@ -141,6 +141,21 @@
       expect(membersOf(plan({ retirements, stores }))).toEqual(['d', 'b', 'c']);
     });
 
+    it('is not replaced by another retiring store', () => {
+      const stores = ['a', 'b', 'c', 'd'].map((name) => store(name));
+      const both = new Map([...retirements, ['d', 'running' as const]]);
+      expect(membersOf(plan({ retirements: both, stores }))).toBeUndefined();
+    });
+
+    it('completes the retirement only after all members know the view', () => {
+      const [, b, c] = VIEW.members;
+      const d = { ...b, name: 'd', address: 'd', joined: 2 } as StoreView['members'][number];
+      const view = { ...VIEW, epoch: 2, members: [d, b, c] as StoreView['members'] };
+      const complete = store('d', { epoch: 2, completeFor: 2 });
+      const outdated = [store('b', { epoch: 2 }), store('c', { epoch: 1 })];
+      expect(plan({ view, retirements, stores: [...outdated, complete] })).toBeUndefined();
+    });
+
     it('completes the retirement only after the replacement is complete', () => {
       const [, b, c] = VIEW.members;
       const d = { ...b, name: 'd', address: 'd', joined: 2 } as StoreView['members'][number];
