--- a/src/binary/run.ts
+++ b/src/binary/run.ts
@@ -6,6 +6,7 @@
   type Logger,
   MartenbayError,
   type RandomSource,
+  StopSignals,
   SystemClock,
   SystemRandom,
   createLogger,
@@ -98,14 +99,7 @@
     logger,
     onFailure: () => process.exit(EXIT_CODES.failed),
   });
-  try {
-    await lifeCycle.start();
-  } catch (error) {
-    logger.fatal({ event: 'start-failed', error: messageOf(error) });
-    process.exit(EXIT_CODES.failed);
-  }
-  logger.info({ event: 'started', version: VERSION });
-  const stop = (signal: NodeJS.Signals) => {
+  const stop = (signal: string) => {
     logger.info({ event: 'stopping', signal });
     lifeCycle.stop().then(
       () => {
@@ -118,6 +112,13 @@
       },
     );
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  const stopSignals = new StopSignals(stop);
+  try {
+    await lifeCycle.start();
+  } catch (error) {
+    logger.fatal({ event: 'start-failed', error: messageOf(error) });
+    process.exit(EXIT_CODES.failed);
+  }
+  logger.info({ event: 'started', version: VERSION });
+  stopSignals.enable();
 }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -20,4 +20,5 @@
 export { PeriodicTask } from './periodic';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
 export { RecentPeak, type RecentPeakOptions } from './recent-peak';
+export { StopSignals } from './stop-signals';
 export { issuesOf, parseDocument } from './toml';
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -1,6 +1,7 @@
 import {
   type LifeCycle,
   MartenbayError,
+  StopSignals,
   SystemClock,
   SystemRandom,
   formatIssue,
@@ -50,6 +51,10 @@
     logger.level = level;
   });
   node.lifeCycle.add('settings', reloadableSettings);
+  process.on('SIGHUP', () => {
+    reloadableSettings.reload('SIGHUP');
+  });
+  const stopSignals = new StopSignals((signal) => void stop(node, signal));
   try {
     await node.lifeCycle.start();
   } catch (error) {
@@ -59,11 +64,7 @@
   }
   const { 'first-start': firstStart, seeds } = settings.node;
   logger.info({ event: 'started', firstStart, seeds });
-  process.once('SIGTERM', () => void stop(node, 'SIGTERM'));
-  process.once('SIGINT', () => void stop(node, 'SIGINT'));
-  process.on('SIGHUP', () => {
-    reloadableSettings.reload('SIGHUP');
-  });
+  stopSignals.enable();
 }
 
 async function stop(node: RunnableNode, signal: string): Promise<void> {
