--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -11,6 +11,13 @@
 export { LatestValue } from './latest-value';
 export type { KnownNode, NodeInfo, NodeKind, NodeStatus } from './node';
 export { ClusterService, type ReplicaComponents } from './service';
-export { FIRST_EPOCH, type StoreView, type ViewMember, storeViewSchema, viewSizeFor } from './view';
+export {
+  FIRST_EPOCH,
+  type SeatHolder,
+  type StoreView,
+  type ViewMember,
+  storeViewSchema,
+  viewSizeFor,
+} from './view';
 export { ViewController } from './view-controller';
 export { type ViewPlanInput, type ViewStep, planView } from './view-plan';
--- a/src/cluster/view-plan.ts
+++ b/src/cluster/view-plan.ts
@@ -2,11 +2,15 @@
 import {
   FIRST_EPOCH,
   type RetirementState,
+  type SeatHolder,
   type StoreView,
   type ViewMember,
   viewSizeFor,
 } from './view';
 
+/** Limits the size of a view while replacements fail one after another. */
+const MAX_PREDECESSORS = 4;
+
 export interface ViewPlanInput {
   readonly view: StoreView | undefined;
   readonly toleratedLosses: number;
@@ -53,20 +57,29 @@
   for (const member of view.members) {
     const store = input.stores.find(({ node }) => node.name === member.name);
     if (store === undefined || store.node.dataLife === member.dataLife) continue;
-    return replace(view, member, store, `${member.name} lost its disk`);
+    return replace(input, view, member, store, `${member.name} lost its disk`);
   }
   return undefined;
 }
 
-/** A member whose address changed keeps its data and its joining epoch. */
+/** A member or predecessor whose address changed keeps its data and its joining epoch. */
 function updateAddress(input: ViewPlanInput, view: StoreView): ViewStep | undefined {
-  for (const member of view.members) {
-    const store = input.stores.find(({ node }) => node.name === member.name);
-    if (store === undefined || store.node.address === member.address) continue;
-    const updated = { ...member, address: store.node.address };
-    const members = view.members.map((other) => (other === member ? updated : other));
+  for (const holder of view.members.flatMap((member) => [member, ...predecessorsOf(member)])) {
+    const store = input.stores.find(({ node }) => node.name === holder.name);
+    if (store?.node.dataLife !== holder.dataLife) continue;
+    const { address } = store.node;
+    if (address === holder.address) continue;
+    const move = <Holder extends SeatHolder>(other: Holder): Holder =>
+      other.name === holder.name && other.dataLife === holder.dataLife
+        ? { ...other, address }
+        : other;
+    const members = view.members.map(({ predecessors, ...member }) =>
+      predecessors === undefined
+        ? move(member)
+        : { ...move(member), predecessors: predecessors.map(move) },
+    );
     const next = { ...view, epoch: view.epoch + 1, members };
-    return { kind: 'view', view: next, reason: `${member.name} changed its address` };
+    return { kind: 'view', view: next, reason: `${holder.name} changed its address` };
   }
   return undefined;
 }
@@ -95,7 +108,7 @@
   const complete = others.filter((other) => isComplete(input, other));
   if (complete.length < view.quorum) return undefined;
   const [spare] = spreadOverZones(spareStores(input, view.members), others);
-  return spare === undefined ? undefined : replace(view, member, spare, reason);
+  return spare === undefined ? undefined : replace(input, view, member, spare, reason);
 }
 
 function completeRetirement(input: ViewPlanInput, view: StoreView): ViewStep | undefined {
@@ -110,10 +123,19 @@
   return undefined;
 }
 
-function replace(view: StoreView, member: ViewMember, store: KnownNode, reason: string): ViewStep {
+function replace(
+  input: ViewPlanInput,
+  view: StoreView,
+  member: ViewMember,
+  store: KnownNode,
+  reason: string,
+): ViewStep {
   const epoch = view.epoch + 1;
-  const added = memberOf(store, epoch);
-  const members = view.members.map((other) => (other === member ? added : other));
+  const predecessors = predecessorsAfter(input, member);
+  const added = { ...memberOf(store, epoch), predecessors };
+  const members = view.members.map((other) =>
+    other === member ? added : withoutNeedlessPredecessors(input, other),
+  );
   return {
     kind: 'view',
     view: { ...view, epoch, members },
@@ -121,6 +143,25 @@
   };
 }
 
+/** The replaced member and, unless it is known to have been complete, its own predecessors. */
+function predecessorsAfter(input: ViewPlanInput, member: ViewMember): readonly SeatHolder[] {
+  const earlier = isComplete(input, member) ? [] : predecessorsOf(member);
+  return [withoutPredecessors(member), ...earlier].slice(0, MAX_PREDECESSORS);
+}
+
+function predecessorsOf({ predecessors = [] }: ViewMember): readonly SeatHolder[] {
+  return predecessors;
+}
+
+function withoutNeedlessPredecessors(input: ViewPlanInput, member: ViewMember): ViewMember {
+  return isComplete(input, member) ? withoutPredecessors(member) : member;
+}
+
+function withoutPredecessors(member: ViewMember): SeatHolder {
+  const { name, address, availabilityZone, dataLife, joined } = member;
+  return { name, address, availabilityZone, dataLife, joined };
+}
+
 /** Responsive stores that are neither members nor retiring. */
 function spareStores(input: ViewPlanInput, used: readonly ViewMember[]): readonly KnownNode[] {
   const names = used.map(({ name }) => name);
--- a/src/cluster/view.ts
+++ b/src/cluster/view.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-const viewMemberSchema = z.object({
+const seatHolderSchema = z.object({
   name: z.string(),
   /** IP:port on which it accepts connections of other processes. */
   address: z.string(),
@@ -11,6 +11,14 @@
   joined: z.int(),
 });
 
+const viewMemberSchema = seatHolderSchema.extend({
+  /**
+   * Former members that this one replaced, latest first, up to one that was complete. Until it is
+   * complete itself, they may still hold the only copy of a record besides the lost ones.
+   */
+  predecessors: z.array(seatHolderSchema.readonly()).readonly().optional(),
+});
+
 /** Schema of a {@link StoreView} in stored records. */
 export const storeViewSchema = z.object({
   epoch: z.int(),
@@ -19,6 +27,9 @@
   quorum: z.int(),
 });
 
+/** A store that is or was a member of a view. */
+export type SeatHolder = Readonly<z.output<typeof seatHolderSchema>>;
+
 /** A store that holds copies of turns. */
 export type ViewMember = Readonly<z.output<typeof viewMemberSchema>>;
 
--- a/src/turns/backfill.ts
+++ b/src/turns/backfill.ts
@@ -1,4 +1,4 @@
-import { FIRST_EPOCH, type StoreView, type ViewMember } from '../cluster';
+import { FIRST_EPOCH, type SeatHolder, type StoreView, type ViewMember } from '../cluster';
 import { type Clock, type Logger, type RandomSource, delay, messageOf } from '../core';
 import type { RpcClient } from '../rpc';
 import type { PullAnswer, TurnContract } from './contract';
@@ -20,9 +20,13 @@
   readonly logger: Logger;
 }
 
+type PullOutcome = 'pulled' | 'incomplete' | 'failed';
+
 /**
  * Copies the rows that were acknowledged before this store joined. Pulls from a quorum of complete
- * members, at least one of which holds any given acknowledged row.
+ * members, at least one of which holds any given acknowledged row. In the place of a member that has
+ * not been complete since it joined, which includes this store, the one that it replaced serves as
+ * well: no write was acknowledged because of the newer one.
  */
 export class Backfill {
   readonly #options: BackfillOptions;
@@ -52,12 +56,22 @@
   async #run(view: StoreView, self: ViewMember): Promise<void> {
     const { journal, clock, logger } = this.#options;
     const startedAt = clock.monotonic();
-    const sources = new Set<string>();
+    const sources = new Map<ViewMember, SeatHolder>();
+    const others = otherMembersNearestFirst(view, self);
     while (self.joined !== FIRST_EPOCH && sources.size < view.quorum) {
-      for (const member of otherMembersNearestFirst(view, self)) {
+      const incomplete: ViewMember[] = [];
+      for (const member of others) {
+        if (!this.#isCurrent(view)) return;
+        if (sources.has(member) || sources.size >= view.quorum) continue;
+        const outcome = await this.#pullFrom(view, member);
+        if (outcome === 'pulled') sources.set(member, member);
+        if (outcome === 'incomplete') incomplete.push(member);
+      }
+      for (const member of [...incomplete, self]) {
         if (!this.#isCurrent(view)) return;
-        if (sources.has(member.name) || sources.size >= view.quorum) continue;
-        if (await this.#pullFrom(view, member)) sources.add(member.name);
+        if (sources.has(member) || sources.size >= view.quorum) continue;
+        const predecessor = await this.#pullFromPredecessors(view, member);
+        if (predecessor !== undefined) sources.set(member, predecessor);
       }
       if (sources.size < view.quorum) await delay(clock, RETRY_DELAY_MILLISECONDS);
     }
@@ -67,7 +81,7 @@
       event: 'filled',
       epoch: view.epoch,
       joined: self.joined,
-      from: [...sources],
+      from: [...sources.values()].map(({ name }) => name),
       turns: journal.table.turnCount,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
@@ -77,34 +91,54 @@
     return !this.#stopped && this.#view === view;
   }
 
-  /** Resolves with whether the member was complete and all its rows were stored. */
-  async #pullFrom(view: StoreView, member: ViewMember): Promise<boolean> {
+  /** Resolves with the latest predecessor that was complete, if the later ones never were. */
+  async #pullFromPredecessors(
+    view: StoreView,
+    { predecessors = [] }: ViewMember,
+  ): Promise<SeatHolder | undefined> {
+    for (const predecessor of predecessors) {
+      if (predecessor.name === this.#options.self) return undefined;
+      const outcome = await this.#pullFrom(view, predecessor);
+      if (outcome === 'pulled') return predecessor;
+      if (outcome === 'failed') return undefined;
+    }
+    return undefined;
+  }
+
+  /** Stores all rows of a member or former member, if it is complete. */
+  async #pullFrom(view: StoreView, holder: SeatHolder): Promise<PullOutcome> {
     const { peers, journal, random, logger } = this.#options;
     const sessionId = random.hex(PULL_SESSION_ID_BYTES);
     let offset = 0;
     let heldTurnIds = storedTurnIds(journal);
     try {
       while (this.#isCurrent(view)) {
-        const request = { epoch: view.epoch, filling: sessionId, offset, held: heldTurnIds };
+        const request = {
+          epoch: view.epoch,
+          joined: holder.joined,
+          filling: sessionId,
+          offset,
+          held: heldTurnIds,
+        };
         const answer = await peers.call(
-          member.address,
+          holder.address,
           'turns.pull',
           request,
           PAGE_TIMEOUT_MILLISECONDS,
         );
-        if (answer.kind !== 'rows' || !answer.complete) {
-          logger.info({ event: 'filling-put-off', from: member.name, answer: answer.kind });
-          return false;
+        if (answer.kind !== 'rows' || !answer.complete || answer.interrupted === true) {
+          logger.info({ event: 'filling-put-off', from: holder.name, answer: answer.kind });
+          return answer.kind === 'rows' && !answer.complete ? 'incomplete' : 'failed';
         }
         await this.#append(answer);
-        if (answer.final) return true;
+        if (answer.final) return 'pulled';
         offset += answer.rows.length;
         heldTurnIds = [];
       }
     } catch (error) {
-      logger.info({ event: 'filling-put-off', from: member.name, error: messageOf(error) });
+      logger.info({ event: 'filling-put-off', from: holder.name, error: messageOf(error) });
     }
-    return false;
+    return 'failed';
   }
 
   #append(answer: PullAnswer): Promise<void> {
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -59,6 +59,8 @@
 }
 
 export interface PullRequest extends ViewRequest {
+  /** Epoch at which the store joined as the member or former member that is asked. */
+  readonly joined?: number;
   /** Random id of the pull session. */
   readonly filling: string;
   /** Rows already received in this session. */
@@ -69,8 +71,10 @@
 
 export interface PullAnswer {
   readonly kind: 'rows';
-  /** Whether the store has completed its backfill and knows the session. */
+  /** Whether the store has completed its backfill since it joined. */
   readonly complete: boolean;
+  /** Set if the session is not known any more and the pull must be started again. */
+  readonly interrupted?: boolean;
   readonly rows: readonly TurnRow[];
   readonly final: boolean;
 }
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -1,4 +1,4 @@
-import type { LatestValue, StoreView } from '../cluster';
+import type { LatestValue, SeatHolder, StoreView } from '../cluster';
 import {
   type Clock,
   type Component,
@@ -27,6 +27,8 @@
 
 const EXPIRY_INTERVAL_MILLISECONDS = 10_000;
 
+const NO_ROWS = { rows: [], final: false } as const;
+
 export interface TurnStoreOptions {
   /** Name of this host. */
   readonly self: string;
@@ -112,21 +114,19 @@
   async #inCurrentView<Answer>(
     epoch: number,
     serve: () => Answer | Promise<Answer>,
+    isServed = (view: StoreView) => this.#isMember(view),
   ): Promise<Answer | ViewMismatch> {
     const view = this.#view;
     if (view === undefined || view.epoch < epoch) return { kind: 'behind' };
     if (view.epoch > epoch) return { kind: 'stale', view };
-    if (!this.#isMember(view)) return { kind: 'behind' };
+    if (!isServed(view)) return { kind: 'behind' };
     await this.#viewPersisted;
     if (this.#view !== view) return { kind: 'stale', view: this.#view ?? view };
     return serve();
   }
 
   #isMember(view: StoreView): boolean {
-    const { self, journal } = this.#options;
-    return view.members.some(
-      ({ name, dataLife }) => name === self && dataLife === journal.dataLife,
-    );
+    return view.members.some((member) => this.#isSelf(member));
   }
 
   get #isComplete(): boolean {
@@ -135,6 +135,11 @@
     return member?.joined === journal.completeFor;
   }
 
+  #isSelf({ name, dataLife }: SeatHolder): boolean {
+    const { self, journal } = this.#options;
+    return name === self && dataLife === journal.dataLife;
+  }
+
   #reserve({
     epoch,
     program,
@@ -180,11 +185,21 @@
     });
   }
 
+  /** Also serves former members' rows: the members that replaced them may not be complete. */
   #pull(request: PullRequest): Promise<PullAnswer | ViewMismatch> {
-    return this.#inCurrentView(request.epoch, () => {
-      const { rows, final, interrupted } = this.#pullSessions.readPage(request);
-      return { kind: 'rows', complete: this.#isComplete && !interrupted, rows, final } as const;
-    });
+    const { epoch, joined } = request;
+    const findHolder = ({ members }: StoreView) =>
+      members
+        .flatMap((member) => [member, ...(member.predecessors ?? [])])
+        .find((holder) => this.#isSelf(holder) && (joined ?? holder.joined) === holder.joined);
+    const readPage = () => {
+      const holder = this.#view === undefined ? undefined : findHolder(this.#view);
+      const { completeFor } = this.#options.journal;
+      const complete = holder !== undefined && completeFor >= holder.joined;
+      const page = complete ? this.#pullSessions.readPage(request) : NO_ROWS;
+      return { kind: 'rows', complete, ...page } as const;
+    };
+    return this.#inCurrentView(epoch, readPage, (view) => findHolder(view) !== undefined);
   }
 
   #expire(): void {
