--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -198,9 +198,22 @@
     if (this.#options.closesConnection()) this.response.shouldKeepAlive = false;
   }
 
+  /** The line of the request has said `answered` or `refused` already. */
+  #logUnwritten(): void {
+    const { logger, metrics } = this.#options;
+    metrics.count('responses_unwritten_total');
+    logger.warn({
+      event: 'response-unwritten',
+      request: this.head.id,
+      status: this.response.statusCode,
+      bytes: this.response.socket?.writableLength,
+    });
+  }
+
   #close(): void {
     this.#isClosed = true;
     if (this.response.writableFinished) return;
+    if (this.response.writableEnded) this.#logUnwritten();
     this.#hasDisconnected = true;
     for (const listener of this.#disconnectListeners) listener();
     this.#disconnectListeners.clear();
