--- a/src/gateway/tests/planned-stop-connections.test.ts
+++ b/src/gateway/tests/planned-stop-connections.test.ts
@@ -52,6 +52,22 @@
   return startServer({ ...options, routes: () => table, turnHandler: { handle } });
 }
 
+/** Begins the response of each turn, and ends the latest one with `end`. */
+class HoldingTurnHandler {
+  end: () => void = () => undefined;
+
+  handle(exchange: Exchange): Promise<void> {
+    exchange.beginResponse(200, []);
+    exchange.response.write('begun');
+    return new Promise((resolve) => {
+      this.end = () => {
+        exchange.response.end('done');
+        resolve();
+      };
+    });
+  }
+}
+
 describe('a planned stop of a gateway', () => {
   let server: StartedServer['server'];
   let forwarder: HoldingForwarder;
@@ -206,30 +222,42 @@
   });
 
   // Guards against accepting requests on connections whose close was not announced.
-  describe('when a response that had begun before ends', () => {
-    it('refuses the next request on its connection', async () => {
-      let end = (): void => undefined;
-      const handle = (exchange: Exchange) => {
-        exchange.beginResponse(200, []);
-        exchange.response.write('begun');
-        return new Promise<void>((resolve) => {
-          end = () => {
-            exchange.response.end('done');
-            resolve();
-          };
-        });
-      };
+  describe('when the response of a turn has begun before', () => {
+    let turns: HoldingTurnHandler;
+
+    beforeEach(async () => {
+      turns = new HoldingTurnHandler();
       const table = createTable('stream');
-      await start(startServer, { routes: () => table, turnHandler: { handle } });
+      await start(startServer, { routes: () => table, turnHandler: turns });
       await caller.send(REQUEST);
       await caller.untilReceived('begun');
+    });
+
+    it('refuses the next request on its connection after its end', async () => {
       refuseNewRequests();
-      end();
+      turns.end();
       await caller.untilReceived('0\r\n\r\n');
       await caller.send(REQUEST);
       await caller.closed;
       expect(statusesOf(caller)).toEqual(['200', '503']);
     });
+
+    it('does not let it look complete if all connections are closed before its end', async () => {
+      refuseNewRequests();
+      server.stop();
+      await caller.closed;
+      expect(caller.receivedText).toMatch(/begun\r\n$/);
+    });
+
+    it('serves the next request on its connection if the gateway was not ready for a moment', async () => {
+      isReady = false;
+      turns.end();
+      await caller.untilReceived('0\r\n\r\n');
+      isReady = true;
+      await caller.send(REQUEST);
+      await caller.untilReceived('0\r\n\r\nHTTP/1.1 200');
+      expect(statusesOf(caller)).toEqual(['200', '200']);
+    });
   });
 
   // Guards against ending the process before the refusal of a request has been sent.
