--- a/src/turns/backfill.ts
+++ b/src/turns/backfill.ts
@@ -1,8 +1,9 @@
 import { FIRST_EPOCH, type SeatHolder, type StoreView, type ViewMember } from '../cluster';
 import { type Clock, type Logger, type RandomSource, delay, messageOf } from '../core';
 import type { RpcClient } from '../rpc';
-import type { PullAnswer, TurnContract } from './contract';
+import type { PullAnswer, PullRequest, TurnContract, ViewMismatch } from './contract';
 import type { TurnJournal } from './journal';
+import { rankReplicas } from './replica-ranking';
 
 const PAGE_TIMEOUT_MILLISECONDS = 1000;
 
@@ -105,35 +106,33 @@
     return undefined;
   }
 
-  /** Stores all rows of a member or former member, if it is complete. */
+  /**
+   * Stores all rows of a member or former member, if it is complete. The next page is requested
+   * before a page is stored, so that source, link and disk work at the same time.
+   */
   async #pullFrom(view: StoreView, holder: SeatHolder): Promise<PullOutcome> {
-    const { peers, journal, random, logger } = this.#options;
+    const { journal, random, logger } = this.#options;
     const sessionId = random.hex(PULL_SESSION_ID_BYTES);
-    let offset = 0;
-    let heldTurnIds = storedTurnIds(journal);
+    const requestPage = (offset: number, held: readonly string[]) => {
+      const session = { filling: sessionId, offset, held };
+      const page = this.#call(holder, { epoch: view.epoch, joined: holder.joined, ...session });
+      // Handled when it is awaited, which is not before the page before it is stored.
+      page.catch(() => undefined);
+      return page;
+    };
     try {
+      let offset = 0;
+      let page = requestPage(offset, storedTurnIds(journal));
       while (this.#isCurrent(view)) {
-        const request = {
-          epoch: view.epoch,
-          joined: holder.joined,
-          filling: sessionId,
-          offset,
-          held: heldTurnIds,
-        };
-        const answer = await peers.call(
-          holder.address,
-          'turns.pull',
-          request,
-          PAGE_TIMEOUT_MILLISECONDS,
-        );
+        const answer = await page;
         if (answer.kind !== 'rows' || !answer.complete || answer.interrupted === true) {
           logger.info({ event: 'filling-put-off', from: holder.name, answer: answer.kind });
           return answer.kind === 'rows' && !answer.complete ? 'incomplete' : 'failed';
         }
-        await this.#append(answer);
-        if (answer.final) return 'pulled';
         offset += answer.rows.length;
-        heldTurnIds = [];
+        if (!answer.final) page = requestPage(offset, []);
+        await journal.add(answer.rows);
+        if (answer.final) return 'pulled';
       }
     } catch (error) {
       logger.info({ event: 'filling-put-off', from: holder.name, error: messageOf(error) });
@@ -141,8 +140,8 @@
     return 'failed';
   }
 
-  #append(answer: PullAnswer): Promise<void> {
-    return this.#options.journal.add(answer.rows);
+  #call({ address }: SeatHolder, request: PullRequest): Promise<PullAnswer | ViewMismatch> {
+    return this.#options.peers.call(address, 'turns.pull', request, PAGE_TIMEOUT_MILLISECONDS);
   }
 }
 
@@ -154,10 +153,10 @@
   return ids;
 }
 
+/** Of equally near members, stores that fill at the same time begin with different ones. */
 function otherMembersNearestFirst(view: StoreView, self: ViewMember): readonly ViewMember[] {
   const isInSameZone = (member: ViewMember) =>
     Number(member.availabilityZone === self.availabilityZone);
-  return view.members
-    .filter((member) => member.name !== self.name)
-    .sort((left, right) => isInSameZone(right) - isInSameZone(left));
+  const order = rankReplicas(view, self.name).filter((member) => member.name !== self.name);
+  return [...order].sort((left, right) => isInSameZone(right) - isInSameZone(left));
 }
