--- /dev/null
+++ b/src/cluster/tests/client.test.ts
@@ -0,0 +1,83 @@
+import { createSilentLogger } from '../../core';
+import { ManualClock } from '../../core/tests/manual-clock';
+import type { RpcClient } from '../../rpc';
+import {
+  ClusterClient,
+  type ClusterContract,
+  ClusterUnavailableError,
+  type HeartbeatSender,
+  NodeDirectory,
+} from '..';
+import type { LeaderAnswer } from '../contract';
+
+const LEADER = { name: 'g1', address: '10.0.0.1:7000', term: 3 };
+
+const OTHER_LEADER = { name: 'g2', address: '10.0.0.2:7000', term: 4 };
+
+const STEP_MILLISECONDS = 20;
+
+type Answer = LeaderAnswer<unknown> | Error;
+
+/** Proposes a change; each call of a leader takes the next answer, the last one again and again. */
+async function propose(answers: readonly Answer[]) {
+  const clock = new ManualClock();
+  const called: string[] = [];
+  const peers = {
+    call: (address: string) => {
+      const answer = answers[Math.min(called.length, answers.length - 1)];
+      called.push(address);
+      return answer instanceof Error ? Promise.reject(answer) : Promise.resolve(answer);
+    },
+  } as unknown as RpcClient<ClusterContract>;
+  const client = new ClusterClient({
+    selfAddress: '10.0.0.9:7000',
+    directory: new NodeDirectory(clock),
+    heartbeatSender: {
+      leader: LEADER,
+      recordLeaderHint: () => undefined,
+    } as unknown as HeartbeatSender,
+    peers,
+    clock,
+    logger: createSilentLogger(),
+    localLeaderCalls: undefined,
+  });
+  let outcome: unknown;
+  client.propose({ kind: 'configure', version: 1, text: '' }).then(
+    (value) => (outcome = value),
+    (error: unknown) => (outcome = error),
+  );
+  for (let step = 0; step < 100 && outcome === undefined; step += 1) {
+    clock.advance(STEP_MILLISECONDS);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  return { outcome, called };
+}
+
+// Guards against a change that counts as committed although no leader has committed it.
+describe('ClusterClient.propose', () => {
+  const done = { kind: 'done', value: 'changed' } as const;
+  const notNow = { kind: 'not-now', reason: 'too few copies' } as const;
+
+  it('resolves with the answer of the leader that committed the change', async () => {
+    expect((await propose([done])).outcome).toBe('changed');
+  });
+
+  it('retries while the leader cannot commit it', async () => {
+    const { outcome, called } = await propose([notNow, new Error('connection lost'), done]);
+    expect([outcome, called.length]).toEqual(['changed', 3]);
+  });
+
+  it('follows to another leader', async () => {
+    const moved = { kind: 'not-leader', leader: OTHER_LEADER } as const;
+    const { outcome, called } = await propose([moved, done]);
+    expect([outcome, called]).toEqual(['changed', [LEADER.address, OTHER_LEADER.address]]);
+  });
+
+  it('rejects as unavailable if no leader commits it in time', async () => {
+    const answers = [notNow, { kind: 'not-leader', leader: undefined }, new Error('lost')] as const;
+    for (const answer of answers) {
+      const { outcome } = await propose([answer]);
+      expect(outcome).toBeInstanceOf(ClusterUnavailableError);
+    }
+  });
+});
--- a/src/cluster/tests/directory.test.ts
+++ b/src/cluster/tests/directory.test.ts
@@ -50,6 +50,15 @@
     expect(names()).toEqual([]);
   });
 
+  it('does not count reports of other nodes as heartbeats', () => {
+    const responsive = () => directory.withHeartbeatWithin(1500).map(({ node }) => node.name);
+    directory.recordReport(describeNode('store-2', 'store'));
+    expect(responsive()).toEqual(['gateway-1', 'store-1']);
+    clock.advance(2001);
+    directory.recordReport(describeNode('store-1', 'store', 'run-2'));
+    expect(responsive()).toEqual([]);
+  });
+
   it('keeps a node whose heartbeat arrives before it would expire', () => {
     clock.advance(9999);
     expect(names()).toEqual(['gateway-1', 'store-1']);
--- a/src/cluster/tests/heartbeat-sender.test.ts
+++ b/src/cluster/tests/heartbeat-sender.test.ts
@@ -102,4 +102,32 @@
       expect(recipients.length).toBeLessThan(30);
     }
   });
+
+  // Guards against a process that missed the message of a view change and stays in the old view.
+  it('fetches a newer view and a newer configuration from the process that reports them', async () => {
+    const clock = new ManualClock();
+    const configuration = new LatestValue<VersionedConfiguration>(({ version }) => version);
+    const view = new LatestValue<StoreView>(({ epoch }) => epoch);
+    const answers: Readonly<Record<string, unknown>> = {
+      'cluster.greet': { node: replica(1), configurationVersion: 4, viewEpoch: 3 },
+      'cluster.configuration': { version: 4, text: '' },
+      'cluster.view': { epoch: 3, members: [], quorum: 0 },
+    };
+    const peers = { call: (_address: string, name: string) => Promise.resolve(answers[name]) };
+    const sender = new HeartbeatSender({
+      self: replica(9),
+      status: () => ({ configurationVersion: 0, viewEpoch: 0, completeFor: 0 }),
+      seeds: () => [replica(1).address],
+      directory: new NodeDirectory(clock),
+      peers: peers as unknown as RpcClient<ClusterContract>,
+      clock,
+      logger: createSilentLogger(),
+      configuration,
+      view,
+    });
+    sender.start();
+    sender.stop();
+    await new Promise((resolve) => setImmediate(resolve));
+    expect([configuration.version, view.version]).toEqual([4, 3]);
+  });
 });
--- a/src/cluster/tests/replica.test.ts
+++ b/src/cluster/tests/replica.test.ts
@@ -97,6 +97,16 @@
     });
   });
 
+  describe('before it leads', () => {
+    it('neither reads nor changes the state', async () => {
+      const fixture = new ReplicaFixture(0);
+      await fixture.replica.start();
+      expect(fixture.replica.read(() => 'state')).toMatchObject({ kind: 'not-leader' });
+      expect(await fixture.configure(1)).toMatchObject({ kind: 'not-leader' });
+      expect(fixture.configuration.value).toBeUndefined();
+    });
+  });
+
   describe('with a disk that temporarily rejects writes', () => {
     it('rejects commands until the disk recovers, then continues with the committed state', async () => {
       const fixture = new ReplicaFixture(0);
