--- a/src/turns/tests/journal.test.ts
+++ b/src/turns/tests/journal.test.ts
@@ -64,6 +64,20 @@
     });
   });
 
+  // Guards against a disk that fills up because the store restarts before each compaction.
+  describe('reopened several times before it is compacted', () => {
+    it('counts what earlier runs have appended', async () => {
+      const disk = new MemoryDisk();
+      const ids = ['t1', 't2', 't3', 't4', 't5', 't6'];
+      for (const id of ids) {
+        const journal = await openJournal(disk);
+        await journal.add([turnRow(id, LARGE_INPUT)]);
+        await journal.close();
+      }
+      expect(await disk.mount().list(FOLDER)).toContain('snapshot');
+    });
+  });
+
   describe('with a disk that was emptied', () => {
     it('starts as another incarnation, complete for no epoch', async () => {
       const disk = new MemoryDisk();
