--- /dev/null
+++ b/src/gateway/tests/kept-connections.test.ts
@@ -0,0 +1,120 @@
+import { Agent, type IncomingMessage, request } from 'node:http';
+import type { Address } from '../../core';
+import { findFreeAddresses } from '../../local';
+import type { GatewayServer } from '..';
+import { createGatewayServer } from './gateway-fixture';
+
+// Guards against a planned stop that cuts off requests on connections which callers keep open.
+describe('a connection that its caller keeps open', () => {
+  let address: Address;
+  let server: GatewayServer;
+  let agent: Agent;
+  let isReady: boolean;
+  /** Answers of the requests that have arrived, in order. */
+  let answers: (() => void)[];
+
+  beforeEach(async () => {
+    const [free] = await findFreeAddresses(['127.0.0.1']);
+    if (free === undefined) throw new Error('no free address');
+    address = free;
+    isReady = true;
+    answers = [];
+    agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const body = Buffer.from('done');
+    const response = { kind: 'answered', status: 200, headers: ['content-length', '4'], body };
+    server = createGatewayServer({
+      address,
+      isReady: () => isReady,
+      forward: () =>
+        new Promise((resolve) => {
+          answers.push(() => {
+            resolve(response);
+          });
+        }),
+    });
+    await server.start();
+  });
+
+  afterEach(() => {
+    agent.destroy();
+    server.stop();
+  });
+
+  function send(via = agent): Promise<IncomingMessage> {
+    const { host, port } = address;
+    return new Promise((resolve, reject) => {
+      const sent = request({ host, port, agent: via, path: '/a', headers: { host: 'h' } });
+      sent.once('response', (response) => {
+        response.resume();
+        response.once('end', () => {
+          resolve(response);
+        });
+      });
+      sent.once('error', reject);
+      sent.end();
+    });
+  }
+
+  async function untilArrived(count: number): Promise<void> {
+    while (answers.length < count) await new Promise(setImmediate);
+  }
+
+  async function sendAndAnswer(): Promise<IncomingMessage> {
+    const pending = send();
+    await untilArrived(answers.length + 1);
+    answers.at(-1)?.();
+    return pending;
+  }
+
+  it('is kept while the gateway is ready, and closed with the next response once it is not', async () => {
+    expect((await sendAndAnswer()).headers.connection).toBe('keep-alive');
+    isReady = false;
+    expect((await sendAndAnswer()).headers.connection).toBe('close');
+  });
+
+  it('gets the response to a request that arrived before the gateway refuses new ones', async () => {
+    const pending = send();
+    await untilArrived(1);
+    server.refuseNewRequests();
+    answers[0]?.();
+    expect((await pending).statusCode).toBe(200);
+    await server.whenIdle();
+  });
+
+  it('gets its response although a new configuration has changed the limits', async () => {
+    const pending = send();
+    await untilArrived(1);
+    const limits = { headerBytes: 8192, headerMilliseconds: 1, idleMilliseconds: 1 };
+    server.applyLimits({ ...limits, bodyBytes: 1 });
+    await new Promise(setImmediate);
+    answers[0]?.();
+    expect((await pending).statusCode).toBe(200);
+  });
+
+  it('gets 503 and is closed if a request arrives on it later', async () => {
+    const pending = send();
+    await untilArrived(1);
+    server.refuseNewRequests();
+    const later = send();
+    answers[0]?.();
+    expect((await pending).headers.connection).toBe('keep-alive');
+    isReady = false;
+    const { statusCode, headers } = await later;
+    expect([statusCode, headers.connection, answers.length]).toEqual([503, 'close', 1]);
+  });
+
+  it('keeps the gateway from being idle until its request has ended, after those of others', async () => {
+    const others = new Agent({ keepAlive: true });
+    const requests = [send(), send(others)];
+    await untilArrived(2);
+    let isIdle = false;
+    const idle = server.whenIdle().then(() => (isIdle = true));
+    answers[0]?.();
+    await Promise.race(requests);
+    await new Promise(setImmediate);
+    expect(isIdle).toBe(false);
+    answers[1]?.();
+    await Promise.all([...requests, idle]);
+    others.destroy();
+  });
+});
--- a/src/gateway/tests/unsent-response.test.ts
+++ b/src/gateway/tests/unsent-response.test.ts
@@ -1,79 +1,16 @@
 import { type Socket, connect } from 'node:net';
-import { type Address, Metrics, SystemClock, createSilentLogger } from '../../core';
+import type { Address } from '../../core';
 import { findFreeAddresses } from '../../local';
-import { RouteTable } from '../../routes';
-import {
-  type Forwarder,
-  GatewayServer,
-  type QuotaGate,
-  UNLIMITED_ADMISSION,
-  type WireFormat,
-} from '..';
+import type { GatewayServer } from '..';
+import { createGatewayServer } from './gateway-fixture';
 
 /** More than the socket buffers of both sides hold together. */
 const BODY = Buffer.alloc(32 * 1024 * 1024, 'x');
 
-const WIRE: WireFormat = {
-  readRequest: () => ({
-    id: 'r1',
-    timeoutMilliseconds: undefined,
-    key: undefined,
-    program: undefined,
-    programMilliseconds: undefined,
-    budget: undefined,
-    previousTurn: undefined,
-    promptTokens: 0,
-    maxTokens: 0,
-    parts: [],
-  }),
-  readResponse: () => ({ requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false }),
-  buildTargetHeaders: () => [],
-};
-
-const TABLE = new RouteTable({
-  version: 1,
-  routes: [
-    {
-      name: 'r',
-      host: 'h',
-      pathPrefix: '/',
-      kind: 'repeatable',
-      timeoutMilliseconds: 10_000,
-      targetLatencyMilliseconds: 100,
-      priority: 0,
-      services: [{ service: 's', weight: 1 }],
-      attempts: 1,
-      isResumable: false,
-      retentionSeconds: undefined,
-      isPublic: false,
-    },
-  ],
-  services: [],
-  limits: {
-    headerBytes: 16_384,
-    bodyBytes: 1000,
-    headerMilliseconds: 3000,
-    idleMilliseconds: 15_000,
-  },
-  teams: undefined,
-});
-
 function createServer(address: Address): GatewayServer {
   const headers = ['content-length', String(BODY.length)];
   const forward = () => Promise.resolve({ kind: 'answered', status: 200, headers, body: BODY });
-  return new GatewayServer({
-    address,
-    wire: WIRE,
-    forwarder: { forward } as unknown as Forwarder,
-    turnHandler: { handle: () => Promise.resolve() },
-    keyGuard: { admit: () => Promise.resolve(undefined) },
-    quotaGate: { requestAdmission: () => UNLIMITED_ADMISSION } as unknown as QuotaGate,
-    routes: () => TABLE,
-    isReady: () => true,
-    clock: new SystemClock(),
-    logger: createSilentLogger(),
-    metrics: new Metrics(),
-  });
+  return createGatewayServer({ address, forward });
 }
 
 /** Sends a request and stops reading once the response has begun. */
