--- /dev/null
+++ b/src/cluster/tests/operator-log.ts
@@ -0,0 +1,85 @@
+import type { Clock } from '../../core';
+import type { VersionedConfiguration } from '..';
+import type { SimulatedProcess } from './simulated-process';
+
+/** What an operator has sent, what was acknowledged, and what was read back. */
+export class OperatorLog {
+  readonly #clock: Clock;
+  readonly #onViolation: (violation: string) => void;
+  #sent = 0;
+  #acknowledged = 0;
+  #read = 0;
+  /** Called once, in the moment of the next acknowledgement. */
+  onNextAcknowledgement: (() => void) | undefined;
+
+  constructor(clock: Clock, onViolation: (violation: string) => void) {
+    this.#clock = clock;
+    this.#onViolation = onViolation;
+  }
+
+  get newestAcknowledged(): number {
+    return this.#acknowledged;
+  }
+
+  /** Newest version read since {@link forgetReads}. */
+  get newestRead(): number {
+    return this.#read;
+  }
+
+  forgetReads(): void {
+    this.#read = 0;
+  }
+
+  /** Sends the next version through a process. */
+  propose(process: SimulatedProcess): void {
+    this.#sent += 1;
+    const version = this.#sent;
+    process.client.propose({ kind: 'configure', version, text: textOf(version) }).then(
+      () => {
+        if (process.isRunning) this.#recordAcknowledgement(version);
+      },
+      () => undefined,
+    );
+  }
+
+  #recordAcknowledgement(version: number): void {
+    this.#acknowledged = Math.max(this.#acknowledged, version);
+    const action = this.onNextAcknowledgement;
+    this.onNextAcknowledgement = undefined;
+    action?.();
+  }
+
+  /** Reads through a process; the answer may not be older than what was acknowledged before. */
+  read(process: SimulatedProcess): void {
+    const acknowledged = this.#acknowledged;
+    process.client.readConfiguration().then(
+      (configuration) => {
+        if (process.isRunning) this.#recordRead(process.host, acknowledged, configuration);
+      },
+      () => undefined,
+    );
+  }
+
+  #recordRead(
+    host: string,
+    acknowledged: number,
+    configuration: VersionedConfiguration | undefined,
+  ): void {
+    const version = configuration?.version ?? 0;
+    if (configuration !== undefined) this.check(host, configuration);
+    this.#read = Math.max(this.#read, version);
+    if (version >= acknowledged) return;
+    const now = this.#clock.monotonic();
+    this.#onViolation(`${now} ms: ${host} read ${version} after ${acknowledged} was acknowledged`);
+  }
+
+  /** Checks that a configuration has the text sent under its version. */
+  check(host: string, { version, text }: VersionedConfiguration): void {
+    if (version <= this.#sent && text === textOf(version)) return;
+    this.#onViolation(`${host} has another text of configuration ${version}: ${text}`);
+  }
+}
+
+function textOf(version: number): string {
+  return `text of ${version}`;
+}
--- a/src/storage/tests/memory-disk.ts
+++ b/src/storage/tests/memory-disk.ts
@@ -7,9 +7,20 @@
   synced: number;
 }
 
+export interface MemoryDiskOptions {
+  /**
+   * What a power loss does to created, renamed and removed names whose folder was not synced: undo
+   * all of them, or undo or keep each on its own. With `separate`, a new name lasts once its file is
+   * synced, and a write within one sector is kept, missing or cut, but not corrupted.
+   */
+  readonly unsyncedNames?: 'undone' | 'separate';
+}
+
 /** Value of the bytes that a power loss corrupts. */
 const CORRUPTED_BYTE = 0x5a;
 
+const SECTOR_BYTES = 512;
+
 /**
  * An in-memory disk with simulated power loss: of each file a random part of the bytes that were not
  * synced is kept, at times corrupted, and directory entries that were not synced are undone.
@@ -18,6 +29,7 @@
   #files = new Map<string, FileContent>();
   /** Directory entries that survive a power loss. */
   #durableFiles = new Map<string, FileContent>();
+  readonly #unsyncedNames: 'undone' | 'separate';
   #mountGeneration = 0;
   #waiting: (() => void)[] = [];
   /** While set, operations wait for {@link releaseOperations}. */
@@ -25,14 +37,18 @@
   /** While set, each write fails with `ENOSPC`. */
   full = false;
 
-  /** Returns a file system whose operations fail after the next power loss or wipe. */
+  constructor({ unsyncedNames = 'undone' }: MemoryDiskOptions = {}) {
+    this.#unsyncedNames = unsyncedNames;
+  }
+
+  /** Returns a file system whose operations fail after the next unmount, power loss or wipe. */
   mount(): FileSystem {
     const generation = this.#mountGeneration;
     const run = async <T>(action: () => T, writes = false): Promise<T> => {
       if (this.paused) await new Promise<void>((resolve) => this.#waiting.push(resolve));
       else await Promise.resolve();
       if (generation !== this.#mountGeneration)
-        throw new Error('EIO: the disk lost power after this file system was mounted');
+        throw new Error('EIO: this file system is no longer mounted');
       if (writes && this.full) throw new Error('ENOSPC: no space left on device');
       return action();
     };
@@ -44,6 +60,7 @@
       sync: () =>
         run(() => {
           content.synced = content.bytes.length;
+          if (this.#unsyncedNames === 'separate') this.#makeNameDurable(content);
         }),
       close: () => Promise.resolve(),
     });
@@ -77,6 +94,12 @@
     for (const release of this.#waiting.splice(0, count)) release();
   }
 
+  /** Ends all mounted file systems, as if their process was killed; files stay as they are. */
+  unmount(): void {
+    this.#mountGeneration += 1;
+    this.releaseOperations();
+  }
+
   /** Removes all files, as if the disk was replaced by an empty one. */
   wipe(): void {
     this.#mountGeneration += 1;
@@ -89,10 +112,11 @@
   losePower(random: RandomSource): void {
     this.#mountGeneration += 1;
     this.#waiting = [];
+    if (this.#unsyncedNames === 'separate') this.#keepSomeNames(random);
     for (const content of this.#durableFiles.values()) {
       const tail = Buffer.from(content.bytes.subarray(content.synced));
       const kept = Math.floor(random.fraction() * (tail.length + 1));
-      if (random.fraction() < 0.3)
+      if (random.fraction() < 0.3 && this.#mayCorrupt(content))
         tail.fill(CORRUPTED_BYTE, Math.floor(random.fraction() * tail.length));
       content.bytes = Buffer.concat([
         content.bytes.subarray(0, content.synced),
@@ -135,6 +159,28 @@
     }
   }
 
+  #mayCorrupt({ bytes, synced }: FileContent): boolean {
+    const isWithinSector =
+      Math.floor(synced / SECTOR_BYTES) === Math.floor(bytes.length / SECTOR_BYTES);
+    return this.#unsyncedNames === 'undone' || !isWithinSector;
+  }
+
+  #makeNameDurable(content: FileContent): void {
+    for (const [path, other] of this.#files) {
+      if (other === content) this.#durableFiles.set(path, content);
+    }
+  }
+
+  /** Makes a random part of the names that are not synced durable. */
+  #keepSomeNames(random: RandomSource): void {
+    for (const path of new Set([...this.#files.keys(), ...this.#durableFiles.keys()])) {
+      const content = this.#files.get(path);
+      if (content === this.#durableFiles.get(path) || random.fraction() < 0.5) continue;
+      if (content === undefined) this.#durableFiles.delete(path);
+      else this.#durableFiles.set(path, content);
+    }
+  }
+
   #content(file: string): FileContent {
     const content = this.#files.get(file);
     if (content === undefined) throw new Error(`ENOENT: ${file}`);
