--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -52,6 +52,7 @@
   async open(): Promise<void> {
     const { snapshot = [], records } = await this.#store.load();
     for (const text of [...snapshot, ...records]) this.#restore(text);
+    for (const text of records) this.#characters += text.length;
     if (this.#state.dataLife !== '') return;
     await this.#persistState({ ...this.#state, dataLife: this.#random.hex(INCARNATION_ID_BYTES) });
   }
