--- a/src/decisions/refusal.ts
+++ b/src/decisions/refusal.ts
@@ -6,6 +6,7 @@
   | 'no_key'
   | 'unknown_key'
   | 'keys_unconfirmed'
+  | 'routes_unconfirmed'
   | 'quota_spent'
   | 'quota_unknown'
   | 'bad_request'
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -15,6 +15,7 @@
 import type { KeyGuard } from './key-guard';
 import type { Forwarder } from './forwarder';
 import type { QuotaGate } from './quota-gate';
+import { RouteFinder, type RouteFinderOptions } from './route-finder';
 import type { TurnHandler } from './turn-handler';
 import type { WireFormat } from './wire-format';
 
@@ -23,9 +24,6 @@
 /** Time within which a complete request, including its body, must arrive. */
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 
-/** Covers the election of a leader after all processes have started, which takes 0.6 s. */
-const CONFIGURATION_RETRY_SECONDS = 0.7;
-
 export interface GatewayServerOptions {
   readonly address: Address;
   readonly wire: WireFormat;
@@ -34,6 +32,7 @@
   readonly turnHandler: Pick<TurnHandler, 'handle'>;
   readonly keyGuard: Pick<KeyGuard, 'admit'>;
   readonly routes: () => RouteTable | undefined;
+  readonly confirmation: RouteFinderOptions['confirmation'];
   /** While false, responses close their connections so that callers use other gateways. */
   readonly isReady: () => boolean;
   readonly clock: Clock;
@@ -46,6 +45,7 @@
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
   readonly #idleConnections: IdleConnections;
+  readonly #routeFinder: RouteFinder;
   readonly #activeExchanges = new Set<Exchange>();
   #isDraining = false;
   #onIdle: () => void = () => undefined;
@@ -63,6 +63,7 @@
       },
     );
     this.#idleConnections = new IdleConnections(this.#server);
+    this.#routeFinder = new RouteFinder(options);
     options.metrics.gauge('requests_under_way', () => this.#activeExchanges.size);
   }
 
@@ -127,22 +128,16 @@
   }
 
   async #route(exchange: Exchange): Promise<void> {
-    const table = this.#options.routes();
     if (this.#isDraining) {
       exchange.refuse(STOPPING);
       return;
     }
-    if (table === undefined) {
-      exchange.refuse(NO_CONFIGURATION);
-      return;
-    }
-    const { host = '' } = exchange.request.headers;
-    const path = (exchange.request.url ?? '/').split('?', 1)[0] ?? '/';
-    const route = table.find(host, path);
-    if (route === undefined) {
-      exchange.refuse(noRouteRefusal(table.configuration.version));
+    const lookup = await this.#routeFinder.find(exchange);
+    if (lookup.kind === 'refused') {
+      exchange.refuse(lookup.refusal);
       return;
     }
+    const { route, table } = lookup;
     exchange.route = route;
     const { turnHandler, keyGuard } = this.#options;
     const refusal = await keyGuard.admit(exchange, route);
@@ -155,13 +150,6 @@
   }
 }
 
-const NO_CONFIGURATION: Refusal = {
-  status: 503,
-  code: 'no_configuration',
-  message: 'no configuration is known here yet; the request was not run',
-  retryAfterSeconds: CONFIGURATION_RETRY_SECONDS,
-};
-
 /** The caller may retry at once, since another gateway accepts the request. */
 const STOPPING: Refusal = {
   status: 503,
@@ -169,8 +157,3 @@
   message: 'this process is stopping; the request was not run',
   retryAfterSeconds: 0,
 };
-
-function noRouteRefusal(version: number): Refusal {
-  const message = `configuration ${version} has no route for this host and path`;
-  return { status: 404, code: 'no_route', message };
-}
--- a/src/gateway/tests/gateway-fixture.ts
+++ b/src/gateway/tests/gateway-fixture.ts
@@ -77,6 +77,7 @@
     keyGuard: { admit: () => Promise.resolve(undefined) },
     quotaGate: { requestAdmission: () => UNLIMITED_ADMISSION } as unknown as QuotaGate,
     routes: () => (isConfigured ? TABLE : undefined),
+    confirmation: { waitForConfirmation: () => Promise.resolve(true), waiterCount: 0 },
     isReady,
     clock: new SystemClock(),
     logger: createSilentLogger(),
--- a/src/gateway/tests/server-fixture.ts
+++ b/src/gateway/tests/server-fixture.ts
@@ -114,6 +114,7 @@
       requestAdmission: () => UNLIMITED_ADMISSION,
     } as unknown as GatewayServerOptions['quotaGate'],
     routes: () => table,
+    confirmation: { waitForConfirmation: () => Promise.resolve(true), waiterCount: 0 },
     isReady: () => true,
     clock: new SystemClock(),
     logger: createSilentLogger(),
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -191,6 +191,7 @@
     keyGuard,
     quotaGate,
     routes: () => table,
+    confirmation,
     isReady,
     clock,
     logger,
