--- a/src/turns/tests/store-group.ts
+++ b/src/turns/tests/store-group.ts
@@ -30,13 +30,17 @@
 
 /** Stores and clients in one process, with views offered one by one and links that can be cut. */
 export class StoreGroup {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
   readonly #random = new SeededRandom(1);
   readonly #logger = createSilentLogger();
   readonly #disks = new Map<string, MemoryDisk>();
   readonly #stores = new Map<string, RunningStore>();
   readonly #unreachable = new Map<string, ReadonlySet<string>>();
 
+  constructor(clock = new ManualClock()) {
+    this.clock = clock;
+  }
+
   /** Starts a store from the content of its disk, which is empty at first. */
   async start(name: string): Promise<void> {
     const disk = this.disk(name);
