--- a/src/turns/tests/history-schedule.test.ts
+++ b/src/turns/tests/history-schedule.test.ts
@@ -115,6 +115,30 @@
     });
   });
 
+  describe('a member replaced just after the others of a quorum were cut off as well', () => {
+    // The leader still counts those as complete by their last heartbeats.
+    it('is not read as absent by gateways that are cut off together with them', async () => {
+      const cutOff = {
+        kind: 'cut',
+        stores: { by: 'number', numbers: [0] },
+        gateways: [],
+        milliseconds: 1854,
+        gap: 6389,
+        trigger: 'acknowledgement',
+      } as const;
+      const island = {
+        ...cutOff,
+        stores: { by: 'number', numbers: [0, 1] },
+        gateways: [3, 4],
+        milliseconds: 4361,
+        gap: 690,
+        trigger: 'none',
+      } as const;
+      const schedule = { seed: 9, toleratedLosses: 1, spares: 2, events: [cutOff, island] };
+      expect(await violationsOf(schedule, OVERLAPPING_OUTAGES)).toEqual([]);
+    });
+  });
+
   describe('a member replaced before its replacement has completed its backfill', () => {
     const cutOff = {
       kind: 'cut',
--- a/src/turns/tests/history-simulation.ts
+++ b/src/turns/tests/history-simulation.ts
@@ -196,7 +196,7 @@
     void this.#read(gateway, record, clock.monotonic() + READ_DEADLINE_MILLISECONDS);
   }
 
-  /** Resolves with whether the turn was found; another gateway's turns are read by its program. */
+  /** Resolves with whether the turn was found, with its whole chain. */
   async #read(gateway: GatewayHost, record: TurnRecord, deadline: number): Promise<boolean> {
     const { id, program } = record;
     const wasAcknowledged = this.#acknowledged.includes(record);
