--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -45,12 +45,14 @@
   readonly #options: TurnStoreOptions;
   readonly #pullSessions: PullSessions;
   readonly #expiryTask: PeriodicTask;
+  readonly #createdAt: { readonly timeOfDay: number; readonly monotonic: number };
   #view: StoreView | undefined;
   #viewPersisted: Promise<void> = Promise.resolve();
 
   constructor(options: TurnStoreOptions) {
     this.#options = options;
     const { journal, clock, view } = options;
+    this.#createdAt = { timeOfDay: clock.now(), monotonic: clock.monotonic() };
     this.#pullSessions = new PullSessions(journal.table, clock);
     this.#expiryTask = new PeriodicTask(clock, EXPIRY_INTERVAL_MILLISECONDS, () => {
       this.#expire();
@@ -202,9 +204,14 @@
     return this.#inCurrentView(epoch, readPage, (view) => findHolder(view) !== undefined);
   }
 
+  /** The time of day without its jumps since this store was created; milliseconds. */
+  get #steadyTimeOfDay(): number {
+    return this.#createdAt.timeOfDay + this.#options.clock.monotonic() - this.#createdAt.monotonic;
+  }
+
   #expire(): void {
     const { journal, clock, logger, metrics } = this.#options;
-    const dropped = journal.table.expire(clock.now());
+    const dropped = journal.table.expire(Math.min(clock.now(), this.#steadyTimeOfDay));
     metrics.count('turns_expired_total', dropped);
     if (dropped > 0) {
       logger.info({ event: 'turns-expired', dropped, kept: journal.table.turnCount });
