--- a/src/cluster/tests/cluster-schedule-arbitrary.ts
+++ b/src/cluster/tests/cluster-schedule-arbitrary.ts
@@ -12,6 +12,20 @@
 
 const others = fc.constantFrom('run', 'kill', 'lose-power', 'lose-power');
 
+const lostDisks = fc.record({
+  kind: fc.constant('lose-disks' as const),
+  hosts,
+  others,
+  downMilliseconds,
+});
+
+const lostStores = fc.record({
+  kind: fc.constant('lose-stores' as const),
+  stores: fc.array(fc.nat({ max: 5 }), { minLength: 1, maxLength: 2 }),
+  others,
+  downMilliseconds,
+});
+
 const fault: fc.Arbitrary<FaultAction> = fc.oneof(
   {
     weight: 2,
@@ -31,21 +45,11 @@
   },
   {
     weight: 12,
-    arbitrary: fc.record({
-      kind: fc.constant('lose-disks' as const),
-      hosts,
-      others,
-      downMilliseconds,
-    }),
+    arbitrary: lostDisks,
   },
   {
     weight: 5,
-    arbitrary: fc.record({
-      kind: fc.constant('lose-stores' as const),
-      stores: fc.array(fc.nat({ max: 5 }), { minLength: 1, maxLength: 2 }),
-      others,
-      downMilliseconds,
-    }),
+    arbitrary: lostStores,
   },
   {
     weight: 2,
@@ -105,7 +109,7 @@
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('configure' as const), through }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('read' as const), through }) },
   {
-    weight: 6,
+    weight: 14,
     arbitrary: fc.record({
       kind: fc.constant('configure-then' as const),
       through,
@@ -114,7 +118,7 @@
         fc.array(fc.integer({ min: 1, max: 6 }), { minLength: 1, maxLength: 3 }),
       ),
       isLeaderSlow: fc.boolean(),
-      fault,
+      fault: fc.oneof({ weight: 2, arbitrary: lostDisks }, { weight: 1, arbitrary: fault }),
     }),
   },
   { weight: 3, arbitrary: fault },
@@ -143,13 +147,13 @@
     arbitrary: fc.record({ kind: fc.constant('reserve' as const), program, through: gateways }),
   },
   {
-    weight: 4,
+    weight: 8,
     arbitrary: fc.record({
       kind: fc.constant('reserve-then' as const),
       program,
       through: gateways,
       laggards: fc.array(fc.nat({ max: 5 }), { maxLength: 2 }),
-      fault,
+      fault: fc.oneof({ weight: 2, arbitrary: lostStores }, { weight: 1, arbitrary: fault }),
     }),
   },
 );
