--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -13,7 +13,7 @@
 export { ClusterService, type ReplicaComponents } from './service';
 export {
   FIRST_EPOCH,
-  type SeatHolder,
+  type MemberEntry,
   type StoreView,
   type ViewMember,
   storeViewSchema,
--- a/src/cluster/view-plan.ts
+++ b/src/cluster/view-plan.ts
@@ -2,14 +2,14 @@
 import {
   FIRST_EPOCH,
   type RetirementState,
-  type SeatHolder,
+  type MemberEntry,
   type StoreView,
   type ViewMember,
   viewSizeFor,
 } from './view';
 
 /** Limits the size of a view while replacements fail one after another. */
-const MAX_PREDECESSORS = 4;
+const MAX_PREDECESSORS = 16;
 
 export interface ViewPlanInput {
   readonly view: StoreView | undefined;
@@ -69,7 +69,7 @@
     if (store?.node.dataLife !== holder.dataLife) continue;
     const { address } = store.node;
     if (address === holder.address) continue;
-    const move = <Holder extends SeatHolder>(other: Holder): Holder =>
+    const move = <Holder extends MemberEntry>(other: Holder): Holder =>
       other.name === holder.name && other.dataLife === holder.dataLife
         ? { ...other, address }
         : other;
@@ -134,7 +134,7 @@
   const predecessors = predecessorsAfter(input, member);
   const added = { ...memberOf(store, epoch), predecessors };
   const members = view.members.map((other) =>
-    other === member ? added : withoutNeedlessPredecessors(input, other),
+    other === member ? added : withoutObsoletePredecessors(input, other),
   );
   return {
     kind: 'view',
@@ -144,20 +144,20 @@
 }
 
 /** The replaced member and, unless it is known to have been complete, its own predecessors. */
-function predecessorsAfter(input: ViewPlanInput, member: ViewMember): readonly SeatHolder[] {
+function predecessorsAfter(input: ViewPlanInput, member: ViewMember): readonly MemberEntry[] {
   const earlier = isComplete(input, member) ? [] : predecessorsOf(member);
   return [withoutPredecessors(member), ...earlier].slice(0, MAX_PREDECESSORS);
 }
 
-function predecessorsOf({ predecessors = [] }: ViewMember): readonly SeatHolder[] {
+function predecessorsOf({ predecessors = [] }: ViewMember): readonly MemberEntry[] {
   return predecessors;
 }
 
-function withoutNeedlessPredecessors(input: ViewPlanInput, member: ViewMember): ViewMember {
+function withoutObsoletePredecessors(input: ViewPlanInput, member: ViewMember): ViewMember {
   return isComplete(input, member) ? withoutPredecessors(member) : member;
 }
 
-function withoutPredecessors(member: ViewMember): SeatHolder {
+function withoutPredecessors(member: ViewMember): MemberEntry {
   const { name, address, availabilityZone, dataLife, joined } = member;
   return { name, address, availabilityZone, dataLife, joined };
 }
--- a/src/cluster/view.ts
+++ b/src/cluster/view.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-const seatHolderSchema = z.object({
+const memberEntrySchema = z.object({
   name: z.string(),
   /** IP:port on which it accepts connections of other processes. */
   address: z.string(),
@@ -11,12 +11,12 @@
   joined: z.int(),
 });
 
-const viewMemberSchema = seatHolderSchema.extend({
+const viewMemberSchema = memberEntrySchema.extend({
   /**
-   * Former members that this one replaced, latest first, up to one that was complete. Until it is
-   * complete itself, they may still hold the only copy of a record besides the lost ones.
+   * Former members that this one replaced, latest first, up to one that was complete. Until this one
+   * is complete, a former one may have the only copy of a record that no lost disk had.
    */
-  predecessors: z.array(seatHolderSchema.readonly()).readonly().optional(),
+  predecessors: z.array(memberEntrySchema.readonly()).readonly().optional(),
 });
 
 /** Schema of a {@link StoreView} in stored records. */
@@ -27,8 +27,8 @@
   quorum: z.int(),
 });
 
-/** A store that is or was a member of a view. */
-export type SeatHolder = Readonly<z.output<typeof seatHolderSchema>>;
+/** A store as a member from one epoch on. */
+export type MemberEntry = Readonly<z.output<typeof memberEntrySchema>>;
 
 /** A store that holds copies of turns. */
 export type ViewMember = Readonly<z.output<typeof viewMemberSchema>>;
--- a/src/turns/backfill.ts
+++ b/src/turns/backfill.ts
@@ -1,4 +1,4 @@
-import { FIRST_EPOCH, type SeatHolder, type StoreView, type ViewMember } from '../cluster';
+import { FIRST_EPOCH, type MemberEntry, type StoreView, type ViewMember } from '../cluster';
 import { type Clock, type Logger, type RandomSource, delay, messageOf } from '../core';
 import type { RpcClient } from '../rpc';
 import type { PullAnswer, PullRequest, TurnContract, ViewMismatch } from './contract';
@@ -26,8 +26,8 @@
 /**
  * Copies the rows that were acknowledged before this store joined. Pulls from a quorum of complete
  * members, at least one of which holds any given acknowledged row. In the place of a member that has
- * not been complete since it joined, which includes this store, the one that it replaced serves as
- * well: no write was acknowledged because of the newer one.
+ * not been complete since it joined, as this store has not, the former member that it replaced is a
+ * source as well: only complete members count for an acknowledgement.
  */
 export class Backfill {
   readonly #options: BackfillOptions;
@@ -57,7 +57,7 @@
   async #run(view: StoreView, self: ViewMember): Promise<void> {
     const { journal, clock, logger } = this.#options;
     const startedAt = clock.monotonic();
-    const sources = new Map<ViewMember, SeatHolder>();
+    const sources = new Map<ViewMember, MemberEntry>();
     const others = otherMembersNearestFirst(view, self);
     while (self.joined !== FIRST_EPOCH && sources.size < view.quorum) {
       const incomplete: ViewMember[] = [];
@@ -96,21 +96,29 @@
   async #pullFromPredecessors(
     view: StoreView,
     { predecessors = [] }: ViewMember,
-  ): Promise<SeatHolder | undefined> {
+  ): Promise<MemberEntry | undefined> {
     for (const predecessor of predecessors) {
-      if (predecessor.name === this.#options.self) return undefined;
-      const outcome = await this.#pullFrom(view, predecessor);
+      const outcome =
+        predecessor.name === this.#options.self
+          ? this.#outcomeOfOwnRows(predecessor)
+          : await this.#pullFrom(view, predecessor);
       if (outcome === 'pulled') return predecessor;
       if (outcome === 'failed') return undefined;
     }
     return undefined;
   }
 
+  #outcomeOfOwnRows({ dataLife, joined }: MemberEntry): PullOutcome {
+    const { journal } = this.#options;
+    if (dataLife !== journal.dataLife) return 'failed';
+    return journal.completeFor >= joined ? 'pulled' : 'incomplete';
+  }
+
   /**
    * Stores all rows of a member or former member, if it is complete. The next page is requested
    * before a page is stored, so that source, link and disk work at the same time.
    */
-  async #pullFrom(view: StoreView, holder: SeatHolder): Promise<PullOutcome> {
+  async #pullFrom(view: StoreView, holder: MemberEntry): Promise<PullOutcome> {
     const { journal, random, logger } = this.#options;
     const sessionId = random.hex(PULL_SESSION_ID_BYTES);
     const requestPage = (offset: number, held: readonly string[]) => {
@@ -125,9 +133,9 @@
       let page = requestPage(offset, storedTurnIds(journal));
       while (this.#isCurrent(view)) {
         const answer = await page;
-        if (answer.kind !== 'rows' || !answer.complete || answer.interrupted === true) {
+        if (answer.kind !== 'rows' || !answer.complete) {
           logger.info({ event: 'filling-put-off', from: holder.name, answer: answer.kind });
-          return answer.kind === 'rows' && !answer.complete ? 'incomplete' : 'failed';
+          return answer.kind === 'rows' && answer.interrupted !== true ? 'incomplete' : 'failed';
         }
         offset += answer.rows.length;
         if (!answer.final) page = requestPage(offset, []);
@@ -140,7 +148,7 @@
     return 'failed';
   }
 
-  #call({ address }: SeatHolder, request: PullRequest): Promise<PullAnswer | ViewMismatch> {
+  #call({ address }: MemberEntry, request: PullRequest): Promise<PullAnswer | ViewMismatch> {
     return this.#options.peers.call(address, 'turns.pull', request, PAGE_TIMEOUT_MILLISECONDS);
   }
 }
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -53,8 +53,8 @@
    * incomplete.
    *
    * A new view removes one store and adds one, so a quorum that counts the added store could be
-   * disjoint from one of the former view. The added store is complete only once a quorum of the
-   * former view serves the new one.
+   * disjoint from one of the former view. A store is complete only after it has pulled from a quorum
+   * of places whose stores serve the new view, so that no quorum of the former one is left.
    */
   async record(record: TurnRecord, deadline: number): Promise<void> {
     const stores = this.#stores;
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -59,7 +59,10 @@
 }
 
 export interface PullRequest extends ViewRequest {
-  /** Epoch at which the store joined as the member or former member that is asked. */
+  /**
+   * Names the membership for which the store is asked, present or former, by the epoch at which it
+   * joined. Absent from stores of a former build, which ask present members only.
+   */
   readonly joined?: number;
   /** Random id of the pull session. */
   readonly filling: string;
@@ -71,9 +74,9 @@
 
 export interface PullAnswer {
   readonly kind: 'rows';
-  /** Whether the store has completed its backfill since it joined. */
+  /** Whether the store has completed its backfill since it joined, and knows the session. */
   readonly complete: boolean;
-  /** Set if the session is not known any more and the pull must be started again. */
+  /** Whether the session is not known any more, so that the pull must be started again. */
   readonly interrupted?: boolean;
   readonly rows: readonly TurnRow[];
   readonly final: boolean;
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -35,6 +35,7 @@
   readonly #onFailure: (error: unknown) => void;
   readonly table = new TurnTable();
   #state: StoreState = { dataLife: '', completeFor: 0 };
+  #durableCompleteFor = 0;
   #characters = 0;
   #compacting = false;
 
@@ -53,6 +54,7 @@
     const { snapshot = [], records } = await this.#store.load();
     for (const text of [...snapshot, ...records]) this.#restore(text);
     for (const text of records) this.#characters += text.length;
+    this.#durableCompleteFor = this.#state.completeFor;
     if (this.#state.dataLife !== '') return;
     await this.#persistState({ ...this.#state, dataLife: this.#random.hex(INCARNATION_ID_BYTES) });
   }
@@ -66,7 +68,7 @@
   }
 
   get completeFor(): number {
-    return this.#state.completeFor;
+    return this.#durableCompleteFor;
   }
 
   get view(): StoreView | undefined {
@@ -78,8 +80,10 @@
     return this.#persistState({ ...this.#state, view });
   }
 
-  persistCompleteFor(completeFor: number): Promise<void> {
-    return this.#persistState({ ...this.#state, completeFor });
+  /** Takes effect once it is durable: what other processes conclude from it outlasts a restart. */
+  async persistCompleteFor(completeFor: number): Promise<void> {
+    await this.#persistState({ ...this.#state, completeFor });
+    this.#durableCompleteFor = Math.max(this.#durableCompleteFor, completeFor);
   }
 
   /** Adds rows, visible at once; resolves once they are durable. */
--- a/src/turns/pull-sessions.ts
+++ b/src/turns/pull-sessions.ts
@@ -34,9 +34,9 @@
   }
 
   /**
-   * Rows added after the session began are left out: the requester receives them as a member. A
-   * session that was evicted, or began before a restart, is interrupted: offsets in a new list could
-   * skip rows.
+   * Rows added after the session began are left out: they belong to the view that the requester is a
+   * member of, whose quorums intersect. A session that was evicted, or began before a restart, is
+   * interrupted: offsets in a new list could skip rows.
    */
   readPage({ filling: sessionId, offset, held: excludedTurnIds }: PullRequest): PullPage {
     this.#evictIdle();
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -1,4 +1,4 @@
-import type { LatestValue, SeatHolder, StoreView } from '../cluster';
+import type { LatestValue, MemberEntry, StoreView } from '../cluster';
 import {
   type Clock,
   type Component,
@@ -27,7 +27,7 @@
 
 const EXPIRY_INTERVAL_MILLISECONDS = 10_000;
 
-const NO_ROWS = { rows: [], final: false } as const;
+const NO_ROWS = { rows: [], final: false, interrupted: false } as const;
 
 export interface TurnStoreOptions {
   /** Name of this host. */
@@ -137,7 +137,7 @@
     return member?.joined === journal.completeFor;
   }
 
-  #isSelf({ name, dataLife }: SeatHolder): boolean {
+  #isSelf({ name, dataLife }: MemberEntry): boolean {
     const { self, journal } = this.#options;
     return name === self && dataLife === journal.dataLife;
   }
@@ -190,16 +190,20 @@
   /** Also serves former members' rows: the members that replaced them may not be complete. */
   #pull(request: PullRequest): Promise<PullAnswer | ViewMismatch> {
     const { epoch, joined } = request;
-    const findHolder = ({ members }: StoreView) =>
-      members
-        .flatMap((member) => [member, ...(member.predecessors ?? [])])
-        .find((holder) => this.#isSelf(holder) && (joined ?? holder.joined) === holder.joined);
+    const findHolder = ({ members }: StoreView): MemberEntry | undefined => {
+      const holders =
+        joined === undefined
+          ? members
+          : members.flatMap((member) => [member, ...(member.predecessors ?? [])]);
+      return holders.find(
+        (holder) => this.#isSelf(holder) && (joined ?? holder.joined) === holder.joined,
+      );
+    };
     const readPage = () => {
       const holder = this.#view === undefined ? undefined : findHolder(this.#view);
-      const { completeFor } = this.#options.journal;
-      const complete = holder !== undefined && completeFor >= holder.joined;
-      const page = complete ? this.#pullSessions.readPage(request) : NO_ROWS;
-      return { kind: 'rows', complete, ...page } as const;
+      const isComplete = holder !== undefined && this.#options.journal.completeFor >= holder.joined;
+      const page = isComplete ? this.#pullSessions.readPage(request) : NO_ROWS;
+      return { kind: 'rows', complete: isComplete && !page.interrupted, ...page } as const;
     };
     return this.#inCurrentView(epoch, readPage, (view) => findHolder(view) !== undefined);
   }
--- a/src/turns/tests/completeness.test.ts
+++ b/src/turns/tests/completeness.test.ts
@@ -1,4 +1,4 @@
-import { LatestValue, type SeatHolder, type StoreView, type ViewMember } from '../../cluster';
+import { LatestValue, type MemberEntry, type StoreView, type ViewMember } from '../../cluster';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import type { RpcClient } from '../../rpc';
@@ -82,7 +82,7 @@
   return group;
 }
 
-function holder(group: StoreGroup, name: string, joined: number): SeatHolder {
+function holder(group: StoreGroup, name: string, joined: number): MemberEntry {
   const { dataLife } = group.store(name).journal;
   return { name, address: name, availabilityZone: name, dataLife, joined };
 }
