--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -82,9 +82,17 @@
    * connection is closed.
    */
   async whenWritten(): Promise<void> {
-    if (!this.response.writableEnded || this.#isClosed) return;
+    const { response, request } = this;
+    if (!response.writableEnded || this.#isClosed || request.socket.destroyed) return;
+    // A response that waits for an earlier one on its connection has no event when that is closed.
     await new Promise<void>((resolve) => {
-      this.response.once('close', resolve);
+      const finish = () => {
+        response.off('close', finish);
+        request.socket.off('close', finish);
+        resolve();
+      };
+      response.once('close', finish);
+      request.socket.once('close', finish);
     });
   }
 
@@ -198,7 +206,7 @@
     if (this.#options.closesConnection()) this.response.shouldKeepAlive = false;
   }
 
-  /** The line of the request has said `answered` or `refused` already. */
+  /** The request was logged as answered or refused when its response was ended. */
   #logUnwritten(): void {
     const { logger, metrics } = this.#options;
     metrics.count('responses_unwritten_total');
--- a/src/http/idle-connections.ts
+++ b/src/http/idle-connections.ts
@@ -1,9 +1,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** Inactivity after which the rest of a response is given up while the server stops. */
+const UNREAD_RESPONSE_TIMEOUT_MILLISECONDS = 3000;
+
 interface ConnectionState {
-  /** Requests whose responses have not been handed to the operating system completely. */
-  openExchanges: number;
+  /** Responses that have not been handed to the operating system completely. */
+  readonly openResponses: Set<ServerResponse>;
   /**
    * Bytes received when the last exchange ended; more have begun another request. Undefined before
    * the first exchange, whose request is expected right after the connection was opened.
@@ -24,35 +27,48 @@
       this.#add(socket);
     });
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-      this.#beginExchange(request.socket, response);
+      this.#beginExchange(request, response);
     });
     server.closeIdleConnections = () => {
       this.close();
     };
   }
 
-  /** Spares connections with a response to be written or a request that is expected or has begun. */
+  /**
+   * Spares connections with a response to be written or a request that is expected or has begun. A
+   * response that was ended is given up once its recipient stops reading.
+   */
   close(): void {
-    for (const [socket, { openExchanges, bytesReadAtRest }] of this.#connections) {
-      const isIdle = openExchanges === 0 && socket.bytesRead === bytesReadAtRest;
-      if (isIdle && socket.writableLength === 0) socket.destroy();
+    for (const [socket, { openResponses, bytesReadAtRest }] of this.#connections) {
+      if (openResponses.size > 0) {
+        const areEnded = [...openResponses].every(({ writableEnded }) => writableEnded);
+        if (areEnded)
+          socket.setTimeout(UNREAD_RESPONSE_TIMEOUT_MILLISECONDS, () => socket.destroy());
+      } else if (socket.bytesRead === bytesReadAtRest && socket.writableLength === 0) {
+        socket.destroy();
+      }
     }
   }
 
   #add(socket: Socket): void {
-    this.#connections.set(socket, { openExchanges: 0, bytesReadAtRest: undefined });
+    this.#connections.set(socket, { openResponses: new Set(), bytesReadAtRest: undefined });
     socket.once('close', () => {
       this.#connections.delete(socket);
     });
   }
 
-  #beginExchange(socket: Socket, response: ServerResponse): void {
+  #beginExchange(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
     const state = this.#connections.get(socket);
     if (state === undefined) return;
-    state.openExchanges += 1;
+    state.openResponses.add(response);
     response.once('close', () => {
-      state.openExchanges -= 1;
+      state.openResponses.delete(response);
       state.bytesReadAtRest = socket.bytesRead;
     });
+    // The body of a request may arrive after its response.
+    request.once('close', () => {
+      if (state.openResponses.size === 0) state.bytesReadAtRest = socket.bytesRead;
+    });
   }
 }
