--- a/src/turns/reservation-client.ts
+++ b/src/turns/reservation-client.ts
@@ -47,7 +47,8 @@
  * - A reservation that is decided in one round was written to all preferred replicas and saw no
  *   undecided mark there. Of several such reservations, the last one at a replica sees all others.
  * - Any other reservation is written to all stores with a mark, and read again once it is durable
- *   at a quorum of complete ones. Of several such reservations, the last one that reached its quorum sees all others.
+ *   at a quorum of complete ones. Of several such reservations, the last one that reached its
+ *   quorum sees all others.
  * - A quorum includes a preferred replica. There, either the marked reservation sees the other one,
  *   or the other one sees the mark and does not end in one round.
  *
