--- a/src/storage/frame.ts
+++ b/src/storage/frame.ts
@@ -11,11 +11,13 @@
  * payload, both big-endian. The payload is never empty and holds records of JSON text separated by
  * line feeds. Each frame is synced before the next one is written.
  */
-const FRAME_HEADER_BYTES = 12;
+export const FRAME_HEADER_BYTES = 12;
 
 /** A length field above this limit is treated as damage. */
 const MAX_PAYLOAD_BYTES = 256 * 1024 * 1024;
 
+export const MAX_FRAME_BYTES = FRAME_HEADER_BYTES + MAX_PAYLOAD_BYTES;
+
 export function encodeFrame(records: readonly string[]): Buffer {
   const payload = Buffer.from(records.join('\n'));
   const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
@@ -32,8 +34,8 @@
   return frame.payload.toString().split('\n');
 }
 
-export interface DecodedFile {
-  readonly records: readonly string[];
+/** Where the intact frames of a file end. */
+export interface FramesEnd {
   /** Offset after the last intact frame, in bytes. */
   readonly end: number;
   /**
@@ -43,18 +45,38 @@
   readonly damagedOffset: number | undefined;
 }
 
+export interface DecodedFile extends FramesEnd {
+  readonly records: readonly string[];
+}
+
 /** Decodes the frames of a file whose header was checked. */
 export function decodeFile(bytes: Buffer): DecodedFile {
   const records: string[] = [];
+  const frames = decodeFrames(bytes);
+  for (;;) {
+    const next = frames.next();
+    if (next.done === true) return { records, ...next.value };
+    records.push(...next.value);
+  }
+}
+
+/** Yields the records of each frame of a file whose header was checked. */
+export function* decodeFrames(bytes: Buffer): Generator<readonly string[], FramesEnd> {
   let offset = FILE_HEADER.length;
   for (;;) {
     const frame = decodeFrame(bytes, offset);
     if (frame === undefined) break;
-    records.push(...frame.payload.toString().split('\n'));
+    yield frame.payload.toString().split('\n');
     offset = frame.end;
   }
   const damaged = offset < bytes.length && hasFrameAfter(bytes, offset + 1);
-  return { records, end: offset, damagedOffset: damaged ? offset : undefined };
+  return { end: offset, damagedOffset: damaged ? offset : undefined };
+}
+
+/** Size in bytes of the frame that starts with `header`; `undefined` if none does. */
+export function frameSizeOf(header: Buffer): number | undefined {
+  if (header.length < FRAME_HEADER_BYTES) return undefined;
+  return FRAME_HEADER_BYTES + header.readUInt32BE(FRAME_MAGIC.length);
 }
 
 interface Frame {
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -12,5 +12,5 @@
   type NodeFileSystemOptions,
 } from './file-system';
 export { QuarantiningStore, type QuarantiningStoreOptions } from './quarantining-store';
-export type { Compaction, RecordStore, StoredRecords } from './record-store';
+export type { Compaction, RecordConsumer, RecordStore, StoredRecords } from './record-store';
 export { SegmentedStore, type SegmentedStoreOptions, markDamaged } from './segmented-store';
--- a/src/storage/quarantining-store.ts
+++ b/src/storage/quarantining-store.ts
@@ -1,7 +1,7 @@
 import { basename, dirname, join } from 'node:path';
 import { StorageError } from './errors';
 import { NodeFileSystem } from './file-system';
-import type { Compaction, RecordStore, StoredRecords } from './record-store';
+import type { Compaction, RecordConsumer, RecordStore, StoredRecords } from './record-store';
 import { SegmentedStore, type SegmentedStoreOptions } from './segmented-store';
 
 export interface QuarantiningStoreOptions extends SegmentedStoreOptions {
@@ -25,15 +25,16 @@
     this.#store = new SegmentedStore(options);
   }
 
-  async load(): Promise<StoredRecords> {
+  async load(consumer?: RecordConsumer): Promise<StoredRecords> {
     try {
-      return await this.#store.load();
+      return await this.#store.load(consumer);
     } catch (error) {
       if (!this.#options.mayQuarantine || !isDamageError(error)) throw error;
       const movedTo = await this.#quarantine();
       this.#options.onQuarantine(error, movedTo);
       this.#store = new SegmentedStore(this.#options);
-      return this.#store.load();
+      consumer?.reset();
+      return this.#store.load(consumer);
     }
   }
 
--- a/src/storage/record-store.ts
+++ b/src/storage/record-store.ts
@@ -5,6 +5,14 @@
   readonly records: readonly string[];
 }
 
+/** Takes the content of a store as it is read, so that it is never in memory as a whole. */
+export interface RecordConsumer {
+  /** Drops what was taken: the store turned out to be damaged and starts empty. */
+  reset(): void;
+  takeSnapshotRow(row: string): void;
+  takeRecord(record: string): void;
+}
+
 /** A snapshot that replaces the records appended so far. */
 export interface Compaction {
   readonly snapshot: Iterable<string>;
@@ -19,8 +27,11 @@
 
 /** A durable log of records, of which a snapshot can replace a prefix. Records hold no line feeds. */
 export interface RecordStore {
-  /** Must be called once, before the first append. */
-  load(): Promise<StoredRecords>;
+  /**
+   * Must be called once, before the first append. With a consumer, which a store may ignore, it
+   * resolves without the rows and records that the consumer has taken.
+   */
+  load(consumer?: RecordConsumer): Promise<StoredRecords>;
   /** Resolves once the records are synced; concurrent calls keep their order. */
   append(records: readonly string[]): Promise<void>;
   /** Resolves once the snapshot is synced and the files that it replaces are removed. */
--- a/src/storage/segmented-store.ts
+++ b/src/storage/segmented-store.ts
@@ -1,10 +1,17 @@
 import { join } from 'node:path';
-import * as z from 'zod';
 import { messageOf } from '../core';
 import { StorageError } from './errors';
 import { type AppendFile, type FileSystem, NodeFileSystem } from './file-system';
-import { FILE_HEADER, decodeFile, encodeFrame } from './frame';
-import type { Compaction, RecordStore, StoredRecords } from './record-store';
+import {
+  CollectedRecords,
+  REPAIR_INSTRUCTIONS,
+  checkFormat,
+  damagedFileError,
+  readSnapshot,
+  takeFrames,
+} from './file-reader';
+import { FILE_HEADER, encodeFrame } from './frame';
+import type { Compaction, RecordConsumer, RecordStore, StoredRecords } from './record-store';
 
 export interface SegmentedStoreOptions {
   readonly folder: string;
@@ -26,12 +33,6 @@
 const DAMAGE_MARKER_FILE = 'damaged';
 const SEGMENT_NAME = /^segment-(\d{10})$/;
 
-/** First record of a snapshot file; the segments from `firstSegment` on follow the snapshot. */
-const snapshotHeaderSchema = z.object({ firstSegment: z.int().positive() });
-
-const REPAIR_INSTRUCTIONS =
-  'move the folder away and restart: the member copies its records from its peers, if it has any';
-
 interface Completion {
   readonly resolve: () => void;
   readonly reject: (error: StorageError) => void;
@@ -70,7 +71,9 @@
     this.#onTornTail = options.onTornTail ?? (() => undefined);
   }
 
-  async load(): Promise<StoredRecords> {
+  async load(consumer?: RecordConsumer): Promise<StoredRecords> {
+    const collected = new CollectedRecords();
+    const target = consumer ?? collected;
     try {
       await this.#files.ensureFolder(this.#folder);
       await this.#files.remove(this.#path(UNFINISHED_SNAPSHOT_FILE));
@@ -79,9 +82,12 @@
         const message = `damage was found by an earlier run; ${REPAIR_INSTRUCTIONS}`;
         throw StorageError.at(this.#path(DAMAGE_MARKER_FILE), 'damaged', message);
       }
-      const snapshot = names.includes(SNAPSHOT_FILE) ? await this.#readSnapshot() : undefined;
-      const records = await this.#readSegments(names, snapshot?.firstSegment ?? 1);
-      return { snapshot: snapshot?.rows, records };
+      const hasSnapshot = names.includes(SNAPSHOT_FILE);
+      const firstSegment = hasSnapshot
+        ? await readSnapshot(this.#files, this.#path(SNAPSHOT_FILE), target)
+        : 1;
+      await this.#readSegments(names, firstSegment, target);
+      return { snapshot: hasSnapshot ? collected.rows : undefined, records: collected.records };
     } catch (error) {
       await this.close();
       if (error instanceof StorageError) throw error;
@@ -124,18 +130,12 @@
     return join(this.#folder, name);
   }
 
-  async #readSnapshot(): Promise<{ readonly firstSegment: number; readonly rows: string[] }> {
-    const file = this.#path(SNAPSHOT_FILE);
-    const bytes = await this.#files.read(file);
-    checkFormat(file, bytes);
-    const { records, end } = decodeFile(bytes);
-    const [header, ...rows] = records;
-    if (end < bytes.length || header === undefined) throw damagedFileError(file, end);
-    return { ...snapshotHeaderSchema.parse(JSON.parse(header)), rows };
-  }
-
   /** Reads the segments from `first` on; removes older ones that a crash left behind. */
-  async #readSegments(names: readonly string[], first: number): Promise<readonly string[]> {
+  async #readSegments(
+    names: readonly string[],
+    first: number,
+    consumer: RecordConsumer,
+  ): Promise<void> {
     const numbers = names
       .flatMap((name) => SEGMENT_NAME.exec(name)?.[1] ?? [])
       .map(Number)
@@ -149,27 +149,21 @@
       const file = this.#path(segmentName(first + index));
       throw StorageError.at(file, 'damaged', `is missing; ${REPAIR_INSTRUCTIONS}`);
     });
-    if (needed.length === 0) {
-      await this.#beginSegment(first);
-      return [];
-    }
-    const records: string[] = [];
+    if (needed.length === 0) await this.#beginSegment(first);
     for (const number of needed) {
-      const last = number === needed.at(-1);
-      for (const record of await this.#readSegment(number, last)) records.push(record);
+      await this.#readSegment(number, number === needed.at(-1), consumer);
     }
-    return records;
   }
 
-  async #readSegment(number: number, last: boolean): Promise<readonly string[]> {
+  async #readSegment(number: number, last: boolean, consumer: RecordConsumer): Promise<void> {
     const file = this.#path(segmentName(number));
     const bytes = await this.#files.read(file);
     if (last && bytes.length < FILE_HEADER.length) {
       await this.#beginSegment(number);
-      return [];
+      return;
     }
     checkFormat(file, bytes);
-    const { records, end, damagedOffset } = decodeFile(bytes);
+    const { end, damagedOffset } = takeFrames(bytes, consumer);
     if (damagedOffset !== undefined || (!last && end < bytes.length))
       throw damagedFileError(file, end);
     if (last) {
@@ -178,7 +172,6 @@
       this.#segment = number;
       this.#segmentSize = end;
     }
-    return records;
   }
 
   /** Closes the current segment, whose frames are all synced, and creates another. */
@@ -297,17 +290,6 @@
   return `segment-${String(number).padStart(10, '0')}`;
 }
 
-function checkFormat(file: string, bytes: Buffer): void {
-  if (bytes.subarray(0, FILE_HEADER.length).equals(FILE_HEADER)) return;
-  const message =
-    'not a log file of format 2; run the version that wrote it or move the folder away';
-  throw StorageError.at(file, 'unknown_format', message);
-}
-
-function damagedFileError(file: string, offset: number): StorageError {
-  return StorageError.at(file, 'damaged', `damaged at byte ${offset}; ${REPAIR_INSTRUCTIONS}`);
-}
-
 /** Groups rows by frame, so that a large snapshot is never encoded as a whole. */
 function* groupByFrame(
   first: readonly string[],
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -28,13 +28,15 @@
   readonly view?: StoreView | undefined;
 }
 
+const NEW_STATE: StoreState = { dataLife: '', completeFor: 0 };
+
 /** The durable state of one store: turns, budgets and its membership. */
 export class TurnJournal {
   readonly #store: RecordStore;
   readonly #random: RandomSource;
   readonly #onFailure: (error: unknown) => void;
   readonly table = new TurnTable();
-  #state: StoreState = { dataLife: '', completeFor: 0 };
+  #state: StoreState = NEW_STATE;
   #durableCompleteFor = 0;
   #characters = 0;
   #compacting = false;
@@ -51,9 +53,21 @@
   }
 
   async open(): Promise<void> {
-    const { snapshot = [], records } = await this.#store.load();
-    for (const text of [...snapshot, ...records]) this.#restore(text);
-    for (const text of records) this.#characters += text.length;
+    const { snapshot = [], records } = await this.#store.load({
+      reset: () => {
+        this.table.clear();
+        this.#state = NEW_STATE;
+        this.#characters = 0;
+      },
+      takeSnapshotRow: (row) => {
+        this.#restore(row);
+      },
+      takeRecord: (record) => {
+        this.#restoreRecord(record);
+      },
+    });
+    for (const row of snapshot) this.#restore(row);
+    for (const record of records) this.#restoreRecord(record);
     this.#durableCompleteFor = this.#state.completeFor;
     if (this.#state.dataLife !== '') return;
     await this.#persistState({ ...this.#state, dataLife: this.#random.hex(INCARNATION_ID_BYTES) });
@@ -129,6 +143,11 @@
     for (const row of this.table.rows()) yield encodeRow(row);
   }
 
+  #restoreRecord(text: string): void {
+    this.#characters += text.length;
+    this.#restore(text);
+  }
+
   #restore(text: string): void {
     if (text === NO_OP_LINE) return;
     const [kind, ...fields] = JSON.parse(text) as readonly unknown[];
--- a/src/turns/table.ts
+++ b/src/turns/table.ts
@@ -29,6 +29,11 @@
     return this.#turns.size;
   }
 
+  clear(): void {
+    this.#turns.clear();
+    this.#budgets.clear();
+  }
+
   has(turn: string): boolean {
     return this.#turns.has(turn);
   }
