--- a/src/gateway/tests/server-fixture.ts
+++ b/src/gateway/tests/server-fixture.ts
@@ -96,18 +96,13 @@
   readonly forwarder: HoldingForwarder;
 }
 
-/** Starts a gateway's server that is ready and holds every request. */
-export async function startServer(
-  options: Partial<GatewayServerOptions> = {},
-  forwarder = new HoldingForwarder(),
-): Promise<StartedServer> {
-  const [address] = await findFreeAddresses(['127.0.0.1']);
-  if (address === undefined) throw new Error('no free address');
+/** Creates a gateway's server that is ready, with one route. */
+export function createServer(
+  options: Partial<GatewayServerOptions> & Pick<GatewayServerOptions, 'address' | 'forwarder'>,
+): GatewayServer {
   const table = createTable();
-  const server = new GatewayServer({
-    address,
+  return new GatewayServer({
     wire: WIRE,
-    forwarder: forwarder as unknown as Forwarder,
     turnHandler: { handle: () => Promise.resolve() },
     keyGuard: { admit: () => Promise.resolve(undefined) },
     quotaGate: {
@@ -121,6 +116,20 @@
     metrics: new Metrics(),
     ...options,
   });
+}
+
+/** Starts a gateway's server that is ready and holds every request. */
+export async function startServer(
+  options: Partial<GatewayServerOptions> = {},
+  forwarder = new HoldingForwarder(),
+): Promise<StartedServer> {
+  const [address] = await findFreeAddresses(['127.0.0.1']);
+  if (address === undefined) throw new Error('no free address');
+  const server = createServer({
+    address,
+    forwarder: forwarder as unknown as Forwarder,
+    ...options,
+  });
   server.applyLimits(CALLER_LIMITS);
   await server.start();
   return { address, server, forwarder };
