--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,99 +1,100 @@
-// A configuration that raises maxHeaderBytes does not hold on connections that were open before it.
-import { Agent } from 'node:http';
+// A gateway that stands still while clients send it turns reserves their tokens when it wakes, although
+// the clients have left and no server gets the turns. The programs are then told that their budget is
+// spent.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { runCase, trouble } from '../common/case.mjs';
-import {
-  LIMITS,
-  TURNS,
-  configuration,
-  startDeployment,
-  turnHeaders,
-} from '../common/deployment.mjs';
+import { TURNS, startDeployment, turnHeaders } from '../common/deployment.mjs';
 import { send } from '../common/http-client.mjs';
 import { sleep } from '../common/system.mjs';
 
-const CONFIG_APPLY_MS = 2000;
+const PROGRAMS = 12;
+const FREEZE_MS = 3000;
+/** Clients give a stream up after the longest of 2 s, 4 x 200 ms and 8 x 300 ms. */
+const GIVE_UP_MS = 2400;
 const CONTACT_MS = 3000;
-const RAISED = { ...LIMITS, maxHeaderBytes: 32_768 };
-/** About 20 KB of X-Martenbay-Prompt-Prefix. */
-const PROMPT_PARTS = 1500;
-const CLIENTS = 12;
-const MOST = 12;
-
-/** Parts of a prompt, each as ID:TOKENS with the ID in hex. */
-function promptParts(client, count) {
-  const idOf = (part) => (client * 100_000 + part).toString(16).padStart(8, '0');
-  return Array.from({ length: count }, (_, part) => `${idOf(part)}:16`).join(',');
-}
+const EVENTS = 3;
+const MOST = EVENTS * 4;
+/** Room for two turns. */
+const BUDGET = 2 * MOST;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, onEnd }) => {
-  // Without the change, the limit is high from the start.
-  const { system, engines } = await startDeployment({
-    base: '127.61.3',
-    record,
-    onEnd,
-    configure: { limits: trouble ? LIMITS : RAISED },
-  });
+  const { system, engines } = await startDeployment({ base: '127.61.3', record, onEnd });
   const hasRun = (id) => engines.some(({ runs }) => runs.some((run) => run.id === id));
+  const [frozen, second, third] = system.gateways;
+  let requests = 0;
 
-  async function turn({ number, gateway }, attempt, parts, agent) {
-    const id = `t-${number}-${attempt}`;
+  async function attempt(program, number, previous, gateway) {
+    requests += 1;
+    const id = `t-${program}-${number}`;
     const { host, ports } = gateway;
-    const prompt = promptParts(number, parts);
     const answer = await send({
       host,
       port: ports.front,
       method: 'POST',
       path: `${TURNS}2f`,
-      headers: {
-        ...turnHeaders({
-          id,
-          program: `p-${number}-${attempt}`,
-          budget: 10 * MOST,
-          most: MOST,
-          promptTokens: 16 * parts,
-        }),
-        'x-martenbay-prompt-prefix': prompt,
-      },
+      headers: turnHeaders({ id, program, previous, budget: BUDGET, most: MOST }),
       body: `asked-${id}\n`,
-      agent,
-      timeout: 4000,
+      timeout: GIVE_UP_MS,
     });
-    const { status, whole, error } = answer;
-    const kept = agent !== false;
-    const promptBytes = prompt.length;
+    const isWhole = answer.status === 200 && answer.whole;
     record({
       event: 'turn',
-      ...{ id, at: gateway.name, kept, promptBytes, status, whole, error, ran: hasRun(id) },
+      program,
+      id,
+      previous,
+      at: gateway.name,
+      status: answer.status,
+      whole: answer.whole,
+      error: answer.error,
+      said: isWhole ? undefined : answer.body.slice(0, 200),
     });
-    return status;
+    return { id, status: answer.status, isWhole, ran: hasRun(id) };
   }
 
-  const clients = Array.from({ length: CLIENTS }, (_, index) => ({
-    number: index + 1,
-    gateway: system.gateways[index % system.gateways.length],
-    kept: new Agent({ keepAlive: true, maxSockets: 1 }),
-  }));
-  onEnd(() => {
-    for (const { kept } of clients) kept.destroy();
-  });
-  const before = await Promise.all(clients.map((client) => turn(client, 1, 3, client.kept)));
-  if (trouble) await system.configure(configuration(2, { limits: RAISED }));
-  await sleep(CONFIG_APPLY_MS + CONTACT_MS);
-  const onKept = await Promise.all(
-    clients.map((client) => turn(client, 2, PROMPT_PARTS, client.kept)),
+  if (trouble) {
+    record({ event: 'gateway-frozen', machine: frozen.name });
+    frozen.signal('SIGSTOP');
+    setTimeout(() => {
+      frozen.signal('SIGCONT');
+      record({ event: 'gateway-wakes', machine: frozen.name });
+    }, FREEZE_MS);
+  }
+  const programs = Array.from({ length: PROGRAMS }, (_, index) => `p${index + 1}`);
+  const outcomes = await Promise.all(
+    programs.map(async (program) => {
+      const first = await attempt(program, 1, undefined, frozen);
+      let answered = first;
+      if (!first.isWhole) {
+        await sleep(100 + 300 * Math.random());
+        answered = await attempt(program, 2, undefined, second);
+      }
+      return { program, first, answered };
+    }),
   );
-  const onNew = await Promise.all(clients.map((client) => turn(client, 3, PROMPT_PARTS, false)));
-  const count = (statuses, status) => statuses.filter((other) => other === status).length;
+  await sleep(1000 + CONTACT_MS);
+  const wrong = [];
+  const served = [];
+  for (const { program, first, answered } of outcomes) {
+    if (!answered.isWhole) continue;
+    const next = await attempt(program, 3, answered.id, third);
+    // A turn that reached a server and did not end whole would count at its most.
+    const mayBeSpent = !first.isWhole && hasRun(first.id);
+    if (next.status === 402 && !mayBeSpent) wrong.push(program);
+    if (next.isWhole) served.push(program);
+  }
+  const allowed = 5 + requests / 500;
   return {
-    broken: count(onKept, 431) > 0,
+    broken: wrong.length > allowed,
     summary: {
-      keptConnections: CLIENTS,
-      servedBefore: count(before, 200),
-      servedOnKeptConnections: count(onKept, 200),
-      refusedWith431OnKeptConnections: count(onKept, 431),
-      servedOnNewConnections: count(onNew, 200),
+      programs: programs.length,
+      firstTurnsSentAgain: outcomes.filter(({ first }) => !first.isWhole).length,
+      firstTurnsGivenUpThatReachedAServer: outcomes.filter(
+        ({ first }) => !first.isWhole && hasRun(first.id),
+      ).length,
+      toldThatTheBudgetIsSpent: wrong.length,
+      allowed,
+      secondTurnsServed: served.length,
       processesEndedByThemselves: system.machines.map(({ ownEnds }) => ownEnds),
     },
   };
