--- a/review/common/case.mjs
+++ b/review/common/case.mjs
@@ -20,6 +20,9 @@
   let timer;
   const limit = new Promise((_resolve, reject) => {
     timer = setTimeout(() => reject(new Error('the case took too long')), LIMIT_MS);
+    for (const signal of ['SIGINT', 'SIGTERM']) {
+      process.once(signal, () => reject(new Error(`ended by ${signal}`)));
+    }
   });
   try {
     record({ event: 'case', trouble });
