A turn that does not fit in its budget names the turns that hold it

Cause: a `request` line that ends with 402 said how many tokens others had taken, but not which turns held them, and the line of a turn that was not refused said nothing of its reservation. So logs could not tell a reservation that was never released from one whose release was lost, or from a turn that was counted twice.

Change: `prepare` lists the holders of a budget in which the turn does not fit (8 at most, unsettled ones first), and each turn that is not recorded logs what became of its reservation (`settled` or `kept`).

--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -139,13 +139,16 @@
         return;
       case 'answered':
         if (outcome.status < 500) this.#options.preparer.settle(turn, 0);
+        else this.#options.preparer.logKept(turn);
         exchange.respond(outcome.status, outcome.headers, outcome.body);
         return;
       case 'caller-disconnected':
+        this.#options.preparer.logKept(turn);
         exchange.log('gone', { events: output.count });
         return;
       case 'refused':
         if (outcome.isNotRun) this.#options.preparer.settle(turn, 0);
+        else this.#options.preparer.logKept(turn);
         if (outcome.began) exchange.abort(outcome.refusal.message);
         else exchange.refuse(outcome.refusal);
     }
--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -10,6 +10,9 @@
 } from '../turns';
 import type { Exchange } from './exchange';
 
+/** Maximum number of turns that hold a budget in the log line of a turn that does not fit. */
+const LOGGED_HOLDERS = 8;
+
 /** A turn being handled. */
 export interface Turn {
   readonly exchange: Exchange;
@@ -74,7 +77,9 @@
       parts: head.parts.length,
       budget: head.budget,
       most: head.maxTokens,
-      taken: reserved instanceof TurnsUnavailableError ? 'unknown' : reserved.committedTokens,
+      ...(reserved instanceof TurnsUnavailableError
+        ? { taken: 'unknown' }
+        : { taken: reserved.committedTokens, ...describeHolders(reserved) }),
       chain: chain instanceof TurnsUnavailableError ? 'unknown' : chain.kind,
       milliseconds: Math.round(clock.monotonic() - startedAt),
     });
@@ -94,7 +99,8 @@
 
   #reserve({ exchange, program, id }: Turn, deadline: number): Promise<ReserveOutcome> {
     const { budget, maxTokens } = exchange.head;
-    if (budget === undefined) return Promise.resolve({ fits: true, committedTokens: 0 });
+    if (budget === undefined)
+      return Promise.resolve({ fits: true, committedTokens: 0, holders: [] });
     const { turns } = this.#options;
     return turns.reserve({ program, turn: id, maxTokens, budget, deadline });
   }
@@ -113,8 +119,25 @@
   /** Reports the tokens that a turn without a record generated; 0 releases its reservation. */
   settle({ program, id, exchange }: Turn, tokens: number): void {
     if (exchange.head.budget === undefined) return;
+    exchange.recordDecision({ step: 'reservation', outcome: 'settled', tokens });
     this.#options.turns.settle(program, id, tokens);
   }
+
+  /** Logs that the reservation of a turn that may have run stays at the turn's maximum. */
+  logKept({ exchange }: Turn): void {
+    const { budget, maxTokens } = exchange.head;
+    if (budget === undefined) return;
+    exchange.recordDecision({ step: 'reservation', outcome: 'kept', tokens: maxTokens });
+  }
+}
+
+/** Names the turns that hold a budget in which a turn does not fit, unsettled ones first. */
+function describeHolders({ fits, holders }: ReserveOutcome): Record<string, unknown> {
+  if (fits) return {};
+  const unsettledFirst = [...holders].sort(
+    (left, right) => Number(left.settled) - Number(right.settled),
+  );
+  return { holderCount: holders.length, holders: unsettledFirst.slice(0, LOGGED_HOLDERS) };
 }
 
 function toStoreResult<Result, Value>(
--- a/src/turns/reservation-budget.ts
+++ b/src/turns/reservation-budget.ts
@@ -16,6 +16,8 @@
   readonly fits: boolean;
   /** Tokens that the program's other turns have generated or reserved. */
   readonly committedTokens: number;
+  /** The program's other turns that hold tokens; empty if the reservation fits. */
+  readonly holders: readonly Reservation[];
 }
 
 /** Result of checking a reservation, stored at a quorum, against the program's budget. */
@@ -24,6 +26,8 @@
   readonly kind: 'fits' | 'contended' | 'spent';
   /** Tokens that the program's other turns have generated or reserved. */
   readonly committedTokens: number;
+  /** Empty if the reservation fits. */
+  readonly holders: readonly Reservation[];
 }
 
 /** Checks a reservation against the union of the other reservations in the stores' answers. */
@@ -33,13 +37,15 @@
 ): BudgetEvaluation {
   let committedTokens = 0;
   let committedBefore = 0;
-  for (const reservation of reservationsOfOtherTurns(answers, turn)) {
+  const others = reservationsOfOtherTurns(answers, turn);
+  for (const reservation of others) {
     committedTokens += reservation.tokens;
     const hasPrecedence = reservation.settled || reservation.turn < turn;
     if (hasPrecedence) committedBefore += reservation.tokens;
   }
-  if (committedTokens + maxTokens <= budget) return { kind: 'fits', committedTokens };
-  return { kind: committedBefore + maxTokens <= budget ? 'contended' : 'spent', committedTokens };
+  if (committedTokens + maxTokens <= budget) return { kind: 'fits', committedTokens, holders: [] };
+  const kind = committedBefore + maxTokens <= budget ? 'contended' : 'spent';
+  return { kind, committedTokens, holders: others.filter(({ tokens }) => tokens > 0) };
 }
 
 /**
@@ -67,7 +73,7 @@
 function reservationsOfOtherTurns(
   answers: readonly ReservationsAnswer[],
   turn: string,
-): Iterable<Reservation> {
+): readonly Reservation[] {
   const others = new Map<string, Reservation>();
   for (const { reservations } of answers) {
     for (const reservation of reservations) {
@@ -78,5 +84,5 @@
       others.set(reservation.turn, merged);
     }
   }
-  return others.values();
+  return [...others.values()];
 }
--- a/src/turns/reservation-client.ts
+++ b/src/turns/reservation-client.ts
@@ -89,7 +89,8 @@
       await delay(clock, CONTENTION_RETRY_DELAY_MILLISECONDS);
       evaluation = evaluateBudget([...written, ...(await this.#read(options))], options);
     }
-    return { fits: evaluation.kind === 'fits', committedTokens: evaluation.committedTokens };
+    const { kind, committedTokens, holders } = evaluation;
+    return { fits: kind === 'fits', committedTokens, holders };
   }
 
   /**
