An attempt that throws after it has started is not reported as unsent

What callers could see: a request that may not be repeated would be sent to a second target, or be refused as not run, although the first target may have run it.

Cause: `Attempt.run` took each exception of `dispatch` for a request that was not sent, also after `onRequestStart`. The HTTP client of today reports such errors through `onResponseError`, which decides by whether the request has started, so only an exception outside its own guard gets there.

Change: both ways share one decision. The new test failed before ("not-sent" instead of "unknown").

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { Clock } from '../core';
+import { type Clock, messageOf } from '../core';
 import { MISDIRECTED_REQUEST_STATUS, type AttemptSummary } from '../decisions';
 import { type ResponseRecord, ResponseRecorder, findIncompleteness } from '../http';
 import type { TargetConnection } from '../targets';
@@ -72,7 +72,7 @@
       try {
         connection.dispatch(options, this);
       } catch (error) {
-        this.#settle({ kind: 'not-sent', reason: String(error) });
+        this.#fail(messageOf(error));
       }
     });
   }
@@ -151,7 +151,11 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    const reason = error.message;
+    this.#fail(error.message);
+  }
+
+  /** The request is certain to be unsent only if it has not started. */
+  #fail(reason: string): void {
     if (this.#controller === undefined) this.#settle({ kind: 'not-sent', reason });
     else this.#settle({ kind: 'unknown', reason, began: this.#hasBegun });
   }
--- a/src/gateway/tests/attempt.test.ts
+++ b/src/gateway/tests/attempt.test.ts
@@ -1,7 +1,8 @@
+import type { Dispatcher } from 'undici';
 import { type ScriptedResponse, ScriptedServer } from '../../../stand-ins';
 import { LifeCycle, Metrics, SystemClock, createSilentLogger, formatAddress } from '../../core';
 import { findFreeAddresses } from '../../local';
-import { TargetConnectionPool, TargetState } from '../../targets';
+import { type TargetConnection, TargetConnectionPool, TargetState } from '../../targets';
 import { Attempt, type AttemptOutcome } from '../attempt';
 import type { WireFormat } from '../wire-format';
 
@@ -72,3 +73,42 @@
     }
   });
 });
+
+// Guards against a second run: a request that is reported as unsent is sent to another target.
+describe('an attempt whose connection throws', () => {
+  const runThrowing = (beforeError: TargetConnection['dispatch']): Promise<AttemptOutcome> =>
+    new Attempt({
+      connection: {
+        dispatch: (options, handler) => {
+          beforeError(options, handler);
+          throw new Error('unexpected');
+        },
+        ending: () => 'open',
+        release: () => undefined,
+        discard: () => undefined,
+      },
+      wire: WIRE,
+      clock: CLOCK,
+      requestId: 'r',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: null,
+    }).run();
+
+  it('reports the request as unsent if it has not started', async () => {
+    expect(await runThrowing(() => undefined)).toMatchObject({ kind: 'not-sent' });
+  });
+
+  it('reports the outcome as unknown if the request has started', async () => {
+    const start: TargetConnection['dispatch'] = (_options, handler) => {
+      const controller = { abort: () => undefined } as unknown as Dispatcher.DispatchController;
+      handler.onRequestStart?.(controller, {});
+    };
+    expect(await runThrowing(start)).toEqual({
+      kind: 'unknown',
+      reason: 'unexpected',
+      began: false,
+    });
+  });
+});
