Turns whose caller leaves before an attempt give back their tokens and quota

Cause: what a request holds (a reservation, quota of its team) was given back by each refusal, not by the end of the request. Ends that refuse nobody gave nothing back: a caller that leaves while the body is read, the quota checked, the tokens reserved, the chain read, a connection opened, or after a target has answered that it did not run the turn; an exception in any of these. The same for the quota of calls. The trace: the 402 names the turn of the caller that left as unsettled holder, and that turn's line has no attempt.

Ruled out: a release that was lost (none was sent), a turn counted twice (two holders, two turns).

Change: RequestHolds owns what a request holds. It is given back once, by the request's end, unless an attempt has started; after an attempt only if the forwarder is certain that no target has run the request, which it now also says of requests whose caller has left. An error in the reservation or the chain is raised once both have ended, so that a release does not overtake its reservation. A caller that is known to have left reserves nothing.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -20,5 +20,6 @@
 export { PeriodicTask } from './periodic';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
 export { RecentPeak, type RecentPeakOptions } from './recent-peak';
+export { bothSettled } from './settled';
 export { StopSignals } from './stop-signals';
 export { issuesOf, parseDocument } from './toml';
--- a/src/decisions/retry.ts
+++ b/src/decisions/retry.ts
@@ -46,7 +46,11 @@
 /** What to do with a request after an attempt. */
 export type NextStep =
   | { readonly kind: 'deliver' }
-  | { readonly kind: 'caller-left' }
+  | {
+      readonly kind: 'caller-left';
+      /** Whether it is certain that no target ran the request. */
+      readonly isNotRun: boolean;
+    }
   | { readonly kind: 'try-another'; readonly attemptCounts: AttemptCounts }
   /** No further attempt is allowed. */
   | { readonly kind: 'exhausted'; readonly attemptCounts: AttemptCounts }
@@ -75,8 +79,8 @@
     case 'streamed':
       return { kind: 'deliver' };
     case 'given-up': {
-      if (hasCallerDisconnected) return { kind: 'caller-left' };
       const mayHaveRun = attemptCounts.mayHaveRun || outcome.sent;
+      if (hasCallerDisconnected) return { kind: 'caller-left', isNotRun: !mayHaveRun };
       const refusal = refuseAfterDeadline(mayHaveRun);
       return { kind: 'refuse', refusal, began: outcome.began, isNotRun: !mayHaveRun };
     }
--- a/src/gateway/call-handler.ts
+++ b/src/gateway/call-handler.ts
@@ -3,6 +3,7 @@
 import type { Exchange } from './exchange';
 import type { Forwarder } from './forwarder';
 import type { QuotaGate } from './quota-gate';
+import { RequestHolds } from './request-holds';
 
 export interface CallHandlerOptions {
   readonly forwarder: Forwarder;
@@ -11,15 +12,36 @@
 
 /** Forwards a request to a target and buffers its response. */
 export async function handleCall(
-  { forwarder, quotaGate }: CallHandlerOptions,
+  options: CallHandlerOptions,
   exchange: Exchange,
   route: Route,
   table: RouteTable,
+): Promise<void> {
+  const holds = new RequestHolds();
+  try {
+    await forwardCall(options, { exchange, route, table, holds });
+  } finally {
+    holds.close();
+  }
+}
+
+interface Call {
+  readonly exchange: Exchange;
+  readonly route: Route;
+  readonly table: RouteTable;
+  readonly holds: RequestHolds;
+}
+
+async function forwardCall(
+  { forwarder, quotaGate }: CallHandlerOptions,
+  { exchange, route, table, holds }: Call,
 ): Promise<void> {
   const admission = quotaGate.requestAdmission(exchange, false);
+  holds.add(() => {
+    admission.refund();
+  });
   const body = await exchange.readBody(table.configuration.limits.bodyBytes);
   if (body === 'disconnected' || body === 'too-large') {
-    admission.refund();
     if (body === 'disconnected') exchange.log('gone');
     else exchange.refuse(BODY_TOO_LARGE);
     return;
@@ -35,10 +57,16 @@
     table,
     body: body.length > 0 ? body : null,
     placement: placementOf(exchange),
+    onAttempt: () => {
+      holds.markAttempted();
+    },
   });
-  if (outcome.kind === 'refused' && outcome.isNotRun) admission.refund();
-  if (outcome.kind === 'answered') exchange.respond(outcome.status, outcome.headers, outcome.body);
-  else if (outcome.kind === 'refused') exchange.refuse(outcome.refusal);
+  if (outcome.kind === 'answered') {
+    exchange.respond(outcome.status, outcome.headers, outcome.body);
+    return;
+  }
+  if (outcome.kind !== 'streamed' && outcome.isNotRun) holds.release();
+  if (outcome.kind === 'refused') exchange.refuse(outcome.refusal);
   else exchange.log('gone');
 }
 
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -49,7 +49,11 @@
 /** Final result of a request, after all attempts. */
 export type ForwardOutcome =
   | Extract<AttemptOutcome, { kind: 'answered' | 'streamed' }>
-  | { readonly kind: 'caller-disconnected' }
+  | {
+      readonly kind: 'caller-disconnected';
+      /** Whether it is certain that no target has run the request. */
+      readonly isNotRun: boolean;
+    }
   | {
       readonly kind: 'refused';
       readonly refusal: Refusal;
@@ -83,7 +87,9 @@
     const progress: ForwardProgress = { request, service, tried: new Set() };
     let attempts = NO_ATTEMPTS;
     for (;;) {
-      if (exchange.hasDisconnected()) return { kind: 'caller-disconnected' };
+      if (exchange.hasDisconnected()) {
+        return { kind: 'caller-disconnected', isNotRun: !attempts.mayHaveRun };
+      }
       if (exchange.remainingMilliseconds <= 0) {
         return refuse(refuseAfterDeadline(attempts.mayHaveRun), attempts);
       }
@@ -101,7 +107,7 @@
         case 'deliver':
           return outcome as Extract<AttemptOutcome, { kind: 'answered' | 'streamed' }>;
         case 'caller-left':
-          return { kind: 'caller-disconnected' };
+          return { kind: 'caller-disconnected', isNotRun: next.isNotRun };
         case 'refuse':
           return { ...next, kind: 'refused' };
         case 'exhausted':
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -43,6 +43,7 @@
     head: { id: 't', program: 'p', budget: 100, maxTokens: 10, parts: [], promptTokens: 5 },
     deadline: clock.monotonic() + 4000,
     readBody: () => Promise.resolve(Buffer.from('x')),
+    hasDisconnected: () => false,
     recordDecision: () => undefined,
     refuse: (refusal: Refusal) => refusals.push(refusal),
   } as unknown as Exchange;
@@ -102,6 +103,7 @@
     deadline: clock.monotonic() + 4000,
     response: { on: () => undefined },
     readBody: () => Promise.resolve(Buffer.from('x')),
+    hasDisconnected: () => false,
     recordDecision: () => undefined,
     log: () => undefined,
     refuse: (refusal: Refusal) => refusals.push(refusal),
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,4 +1,4 @@
-import { type Clock, MartenbayError, type Metrics } from '../core';
+import { type Clock, MartenbayError, type Metrics, bothSettled } from '../core';
 import type { Refusal } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
 import { teamScopedId } from '../teams';
@@ -11,6 +11,7 @@
 import type { Exchange } from './exchange';
 import type { ForwardOutcome, Forwarder } from './forwarder';
 import type { QuotaGate, QuotaAdmission } from './quota-gate';
+import { RequestHolds } from './request-holds';
 import type { Chain, PreparedTurn, Turn, TurnPreparer } from './turn-preparer';
 
 /** Time to record a completed turn, even if the deadline of its request is earlier. */
@@ -36,36 +37,38 @@
   }
 
   async handle(exchange: Exchange, route: Route, table: RouteTable): Promise<void> {
+    const holds = new RequestHolds();
+    try {
+      await this.#receive({ exchange, route, table, holds });
+    } finally {
+      holds.close();
+    }
+  }
+
+  async #receive(request: Pick<Turn, 'exchange' | 'route' | 'table' | 'holds'>): Promise<void> {
+    const { exchange, route, table, holds } = request;
     const admission = this.#options.quotaGate.requestAdmission(
       exchange,
       startsProgram(exchange, route),
     );
+    holds.add(() => {
+      admission.refund();
+    });
     const input = await exchange.readBody(table.configuration.limits.bodyBytes);
     const { id, program = id, previousTurn } = exchange.head;
     if (typeof input === 'string' || id === undefined || program === undefined) {
-      admission.refund();
       if (input === 'disconnected') exchange.log('gone');
       else exchange.refuse(input === 'too-large' ? BODY_TOO_LARGE : MISSING_ID);
       return;
     }
     const scopeToTeam = (callerId: string) => teamScopedId(exchange.team, callerId);
     const previous = previousTurn === undefined ? undefined : scopeToTeam(previousTurn);
-    await this.#handleTurn(
-      {
-        exchange,
-        route,
-        table,
-        id: scopeToTeam(id),
-        program: scopeToTeam(program),
-        previous,
-        input,
-      },
-      admission,
-    );
+    const ids = { id: scopeToTeam(id), program: scopeToTeam(program), previous };
+    await this.#handleTurn({ ...request, ...ids, input }, admission);
   }
 
   async #handleTurn(turn: Turn, admission: QuotaAdmission): Promise<void> {
-    const { exchange, route } = turn;
+    const { exchange, route, holds } = turn;
     const earlyQuotaRefusal = startsProgram(exchange, route)
       ? await admission.refusal()
       : undefined;
@@ -73,18 +76,23 @@
       exchange.refuse(earlyQuotaRefusal);
       return;
     }
+    if (exchange.hasDisconnected()) {
+      exchange.log('gone');
+      return;
+    }
     const { preparer } = this.#options;
-    const [preparation, quotaRefusal] = await Promise.all([
+    holds.add(() => {
+      preparer.settle(turn, 0);
+    });
+    const [preparation, quotaRefusal] = await bothSettled([
       preparer.prepare(turn),
       admission.refusal(),
     ]);
     const refusal = quotaRefusal ?? this.#findRefusal(turn, preparation);
     if (refusal !== undefined) {
-      preparer.settle(turn, 0);
-      admission.refund();
+      holds.release();
       exchange.refuse(refusal);
-    } else if (preparation.kind === 'admitted')
-      await this.#send(turn, preparation.chain, admission);
+    } else if (preparation.kind === 'admitted') await this.#send(turn, preparation.chain);
   }
 
   #findRefusal(turn: Turn, preparation: PreparedTurn): Refusal | undefined {
@@ -92,8 +100,8 @@
     return this.#options.engineAdmission.findRefusal(turn, preparation.startsProgram);
   }
 
-  async #send(turn: Turn, chain: Chain, admission: QuotaAdmission): Promise<void> {
-    const { exchange, route, table } = turn;
+  async #send(turn: Turn, chain: Chain): Promise<void> {
+    const { exchange, route, table, holds } = turn;
     const { forwarder, engineAdmission } = this.#options;
     const output = new EventDataCollector();
     let attempt: Attempt | undefined;
@@ -106,6 +114,7 @@
       body: buildBody(chain, turn.input),
       placement: placementAfter(exchange, chain),
       onAttempt: (started: Attempt, placement: Placement) => {
+        holds.markAttempted();
         attempt = started;
         lastPlacement = placement;
       },
@@ -122,7 +131,6 @@
     const outcome = await engineAdmission.run(turn, (priority) =>
       forwarder.forward({ ...request, priority }),
     );
-    if (outcome.kind === 'refused' && outcome.isNotRun) admission.refund();
     await this.#finish(turn, outcome, output, lastPlacement);
   }
 
@@ -143,17 +151,21 @@
         exchange.respond(outcome.status, outcome.headers, outcome.body);
         return;
       case 'caller-disconnected':
-        this.#options.preparer.logKept(turn);
+        this.#endHolds(turn, outcome.isNotRun);
         exchange.log('gone', { events: output.count });
         return;
       case 'refused':
-        if (outcome.isNotRun) this.#options.preparer.settle(turn, 0);
-        else this.#options.preparer.logKept(turn);
+        this.#endHolds(turn, outcome.isNotRun);
         if (outcome.began) exchange.abort(outcome.refusal.message);
         else exchange.refuse(outcome.refusal);
     }
   }
 
+  #endHolds(turn: Turn, isNotRun: boolean): void {
+    if (isNotRun) turn.holds.release();
+    else this.#options.preparer.logKept(turn);
+  }
+
   /** Ends the response only after the turn is recorded, so that the caller can continue it. */
   async #complete(
     turn: Turn,
--- a/src/gateway/turn-preparer.ts
+++ b/src/gateway/turn-preparer.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../core';
+import { type Clock, bothSettled } from '../core';
 import { type Admission, type StoreResult, admitTurn, preparationTimeout } from '../decisions';
 import type { Route, RouteTable } from '../routes';
 import {
@@ -9,6 +9,7 @@
   TurnsUnavailableError,
 } from '../turns';
 import type { Exchange } from './exchange';
+import type { RequestHolds } from './request-holds';
 
 /** Maximum number of turns that hold a budget in the log line of a turn that does not fit. */
 const LOGGED_HOLDERS = 8;
@@ -24,6 +25,7 @@
   /** Id of the turn that this one continues. */
   readonly previous: string | undefined;
   readonly input: Buffer;
+  readonly holds: RequestHolds;
 }
 
 /** Turns that a turn continues, oldest first. */
@@ -63,7 +65,7 @@
     const startedAt = clock.monotonic();
     const preparationMilliseconds = preparationTimeout(quorumMonitor.reachesQuorum);
     const deadline = Math.min(startedAt + preparationMilliseconds, turn.exchange.deadline);
-    const [reserved, chain] = await Promise.all([
+    const [reserved, chain] = await bothSettled([
       this.#catchUnavailable(() => this.#reserve(turn, deadline)),
       this.#catchUnavailable(() =>
         previous === undefined || turn.route.retentionSeconds === undefined
