A hedged call of which one attempt was sent does not count as not run

Cause: the hedger ranks two failed attempts by kind, and both are `given-up`. Of two equal ranks the one that ended first was taken, whichever was sent.

Change: an attempt that was given up before it was sent ranks like one that was not run. The new test failed before in one of the two orders.

--- a/src/gateway/request-hedger.ts
+++ b/src/gateway/request-hedger.ts
@@ -92,8 +92,9 @@
   answered: 4,
 };
 
-function rankOf({ kind }: AttemptOutcome): number {
-  return OUTCOME_RANKS[kind];
+function rankOf(outcome: AttemptOutcome): number {
+  const isUnsent = outcome.kind === 'given-up' && !outcome.sent;
+  return OUTCOME_RANKS[isUnsent ? 'not-run' : outcome.kind];
 }
 
 function isSuccess(outcome: AttemptOutcome): boolean {
--- a/src/gateway/tests/request-hedger.test.ts
+++ b/src/gateway/tests/request-hedger.test.ts
@@ -11,6 +11,8 @@
   body: Buffer.from(''),
 };
 const NOT_RUN: AttemptOutcome = { kind: 'not-run', status: 503 };
+const GIVEN_UP_SENT: AttemptOutcome = { kind: 'given-up', sent: true, began: false };
+const GIVEN_UP_UNSENT: AttemptOutcome = { ...GIVEN_UP_SENT, sent: false };
 const OUTCOME_UNKNOWN: AttemptOutcome = { kind: 'unknown', reason: 'reset', began: false };
 
 async function settle(): Promise<void> {
@@ -79,6 +81,20 @@
     endFirst(OUTCOME_UNKNOWN);
     expect(await result).toEqual({ outcome: OUTCOME_UNKNOWN, attemptCount: 2 });
   });
+
+  it.each([
+    { first: GIVEN_UP_UNSENT, second: GIVEN_UP_SENT },
+    { first: GIVEN_UP_SENT, second: GIVEN_UP_UNSENT },
+  ])(
+    'does not count as not run if only one of two attempts was sent',
+    async ({ first, second }) => {
+      const { clock, startSecondAttempt, endFirst, result } = await startSlowCall();
+      startSecondAttempt.mockReturnValue(Promise.resolve(second));
+      clock.advance(25);
+      endFirst(first);
+      expect(await result).toEqual({ outcome: GIVEN_UP_SENT, attemptCount: 2 });
+    },
+  );
 });
 
 describe('the latency quantile of a route', () => {
