Chat calls that end while they are begun are neither sent nor charged

What callers could see, on the chat interface: a call whose caller had left, or whose deadline had passed, while the control hosts began its step was sent to an engine all the same, and charged to the budget at its most; with no program named, the engine worked to the end for nobody.

Cause: the listener for the caller's disconnection was added after the step had begun, so that an earlier `close` event was missed. A deadline in the past aborted its signal a timer later, after the call was sent. And a call whose signal was aborted before it was sent counted as one that may have run.

Change: the listener looks at a connection that is closed already; a timeout of 0 or less aborts at once; the sidecar client reports a call that it has not sent as not run, which abandons the step without a charge, and its target is not cooled down for it.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -80,11 +80,13 @@
   readonly cancel: CancelTimer;
 }
 
-/** Starts an abort controller that aborts after `milliseconds` unless cancelled. */
+/** Starts an abort controller that aborts after `milliseconds`, at once for 0 or less, unless cancelled. */
 export function startTimeout(clock: Clock, milliseconds: number): Timeout {
   const controller = new AbortController();
-  const cancel = clock.after(Math.max(0, milliseconds), () => {
+  const abort = () => {
     controller.abort(new Error('the operation timed out'));
-  });
-  return { controller, cancel };
+  };
+  if (milliseconds > 0) return { controller, cancel: clock.after(milliseconds, abort) };
+  abort();
+  return { controller, cancel: () => undefined };
 }
--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -116,10 +116,12 @@
  * A response whose end was already written counts as delivered.
  */
 function abortOnDisconnect(response: ServerResponse, controller: AbortController): void {
-  response.once('close', () => {
+  const onClose = () => {
     if (!response.writableEnded)
       controller.abort(new Error('caller disconnected before the response was complete'));
-  });
+  };
+  if (response.destroyed) onClose();
+  else response.once('close', onClose);
 }
 
 async function runAndStore(
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -57,7 +57,8 @@
     if (load !== undefined) context.directory.observeLoad(name, load);
     return await readCompleteResponse(response);
   } catch (error) {
-    context.directory.startCooldown(name);
+    const endedUnsent = signal.aborted && error instanceof CallError && error.notRun;
+    if (!endedUnsent) context.directory.startCooldown(name);
     if (error instanceof CallError) throw error;
     throw new CallError(`${name} broke off its answer: ${messageOf(error)}`, false, error);
   } finally {
--- a/src/entry/sidecar-client.ts
+++ b/src/entry/sidecar-client.ts
@@ -106,6 +106,7 @@
 
   async #request(target: Target, call: TargetCall): Promise<Dispatcher.ResponseData> {
     const { method, path, headers, body, attempt, program, claim, signal } = call;
+    if (signal.aborted) throw new CallError(`not sent: ${messageOf(signal.reason)}`, true);
     try {
       return await request(`http://${formatAddress(target.address)}${CALL_PREFIX}${path}`, {
         dispatcher: this.#agent,
