Ends of turns are repeated to stores that may have missed them

What callers could see: a program is refused with 402 although turns that took its budget have ended without a run, because the gateway was cut off from the stores, or its connections were lost, when it gave their tokens back. The reservation then counts for the 120 s for which an idle budget is kept.

Cause: a settlement was a one-way message, sent once and dropped by a connection that is down, in its 100 ms before a reconnect, or lost later. A budget is read from the program's preferred stores alone, so a release that all of these miss is never seen.

Ruled out by the new property test: a release that arrives before its reservation (settled is final, whatever the order); a release that one store misses while it stands still or is cut off, and another one loses its disk (a quorum has it, and the new disk is filled from a quorum). With up to the tolerated number of stores disturbed at once, only disturbances of the gateway itself showed the fault.

Change: SettlementOutbox sends settlements with PeerConnection.castConfirmed, which tells whether the peer has read the message: a connection keeps the order of its frames, so the answer to any later call confirms it, without a message more. What is not confirmed is repeated to that store every 500 ms while it is a member, for 120 s, 4,096 messages at most. Message and stores stay as they were.

Tests: src/turns/tests/settlement-schedule, random orders of turns, ends, pauses, cuts, restarts and lost disks: afterwards a budget has room for exactly what no turn that may have run has taken.

--- a/src/cluster/tests/simulated-network.ts
+++ b/src/cluster/tests/simulated-network.ts
@@ -1,5 +1,5 @@
 import type { Clock, RandomSource } from '../../core';
-import { type RpcClient, type RpcContract, RpcError } from '../../rpc';
+import { type ConfirmingRpcClient, type RpcContract, RpcError } from '../../rpc';
 
 /** The handlers of one run of a process. */
 export interface SimulatedServer {
@@ -26,6 +26,9 @@
   readonly deliver: (server: SimulatedServer) => void;
 }
 
+/** Time after which a connection whose peer is silent is closed. */
+const LOSS_DETECTION_MILLISECONDS = 1500;
+
 const MINIMUM_DELAY_MILLISECONDS = 1;
 const MAXIMUM_DELAY_MILLISECONDS = 30;
 
@@ -82,7 +85,9 @@
     for (const message of due) this.#deliver(message);
   }
 
-  createClient<Contract extends RpcContract>(caller: SimulatedCaller): RpcClient<Contract> {
+  createClient<Contract extends RpcContract>(
+    caller: SimulatedCaller,
+  ): ConfirmingRpcClient<Contract> {
     const call = (address: string, name: string, body: unknown, milliseconds: number) =>
       new Promise<unknown>((resolve, reject) => {
         caller.clock.after(milliseconds, () => {
@@ -107,6 +112,16 @@
       cast: (address, name, body) => {
         this.#send(caller.host, address, (server) => server.casts[name]?.(body));
       },
+      castConfirmed: (address, name, body) =>
+        new Promise((resolve, reject) => {
+          caller.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
+            reject(RpcError.of('lost', 'connection lost'));
+          });
+          this.#send(caller.host, address, (server) => {
+            server.casts[name]?.(body);
+            resolve();
+          });
+        }),
       isConnected: () => true,
     };
   }
--- a/src/cluster/tests/simulated-process.ts
+++ b/src/cluster/tests/simulated-process.ts
@@ -27,7 +27,7 @@
   type VersionedConfiguration,
   ViewController,
 } from '..';
-import type { RpcClient } from '../../rpc';
+import type { ConfirmingRpcClient } from '../../rpc';
 import type { ClusterContract } from '../contract';
 import type { SimulatedNetwork, SimulatedServer } from './simulated-network';
 
@@ -74,7 +74,7 @@
     const run = random.hex(RUN_ID_BYTES);
     // The content of a store's disk is known only once its journal is open.
     const self = { ...node, keepsClusterState, run, dataLife: '' };
-    const peers: RpcClient<ClusterContract & TurnContract> = network.createClient(this);
+    const peers: ConfirmingRpcClient<ClusterContract & TurnContract> = network.createClient(this);
     const metrics = new Metrics();
     const shared = {
       directory: new NodeDirectory(clock),
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -212,6 +212,7 @@
   lifeCycle.add('log', context.logOutput);
   lifeCycle.add('pause-monitor', new PauseMonitor(context));
   lifeCycle.add('peers', peers);
+  lifeCycle.add('turns', turns);
   lifeCycle.add('connections', connections);
   if (keepsClusterState) lifeCycle.add('cluster-state-cache', context.createClusterStateCache());
   if (replicaComponents !== undefined) lifeCycle.add('cluster-state', replicaComponents.replica);
--- a/src/rpc/contract.ts
+++ b/src/rpc/contract.ts
@@ -32,3 +32,16 @@
   /** Whether the connection to `address` is open. */
   isConnected(address: string): boolean;
 }
+
+/** Client that also tells whether a one-way message has arrived. */
+export interface ConfirmingRpcClient<C extends RpcContract> extends RpcClient<C> {
+  /**
+   * Resolves once the process at `address` has read the message; rejects with an RpcError if that
+   * is not certain.
+   */
+  castConfirmed<Name extends CastName<C>>(
+    address: string,
+    name: Name,
+    body: C['casts'][Name],
+  ): Promise<void>;
+}
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -1,6 +1,7 @@
 export type {
   CallHandlers,
   CallName,
+  ConfirmingRpcClient,
   RpcClient,
   CastHandlers,
   CastName,
--- a/src/rpc/peer-connection.ts
+++ b/src/rpc/peer-connection.ts
@@ -33,6 +33,13 @@
   readonly cancel: CancelTimer;
 }
 
+interface UnconfirmedCast {
+  /** Id of the last call before the cast; the answer to any later one confirms the cast. */
+  readonly lastCallId: number;
+  readonly resolve: () => void;
+  readonly reject: (error: RpcError) => void;
+}
+
 export interface PeerConnectionOptions {
   readonly address: Address;
   readonly clock: Clock;
@@ -44,6 +51,8 @@
 export class PeerConnection {
   readonly #options: PeerConnectionOptions;
   readonly #pending = new Map<number, PendingCall>();
+  /** Oldest first; all sent on the present socket. */
+  #unconfirmedCasts: UnconfirmedCast[] = [];
   #socket: Socket | undefined;
   #connected = false;
   #failedAt = -Infinity;
@@ -84,6 +93,20 @@
     this.#write({ kind: 'cast', method, body });
   }
 
+  /**
+   * Sends a one-way message; resolves once the peer has read it. The answer to any later call, at the
+   * latest to the next keepalive, shows that, since a connection keeps the order of its frames.
+   */
+  castConfirmed(method: string, body: unknown): Promise<void> {
+    return new Promise((resolve, reject) => {
+      if (this.#write({ kind: 'cast', method, body })) {
+        this.#unconfirmedCasts.push({ lastCallId: this.#lastId, resolve, reject });
+      } else {
+        reject(this.#error('unreachable', `not connected or send buffer full; ${method} not sent`));
+      }
+    });
+  }
+
   close(): void {
     this.#disconnect(this.#socket, 'closed locally');
   }
@@ -145,6 +168,7 @@
 
   #dispatch(frame: Frame): void {
     if (frame.kind === 'call' || frame.kind === 'cast') return;
+    this.#confirmCastsBefore(frame.id);
     const pending = this.#pending.get(frame.id);
     if (pending === undefined) return;
     this.#pending.delete(frame.id);
@@ -153,6 +177,13 @@
     else pending.reject(this.#error('failed', frame.message));
   }
 
+  #confirmCastsBefore(callId: number): void {
+    if (this.#unconfirmedCasts.length === 0) return;
+    const firstLater = this.#unconfirmedCasts.findIndex(({ lastCallId }) => lastCallId >= callId);
+    const count = firstLater < 0 ? this.#unconfirmedCasts.length : firstLater;
+    for (const cast of this.#unconfirmedCasts.splice(0, count)) cast.resolve();
+  }
+
   /** Detects a peer that failed without closing the connection. */
   #scheduleKeepalive(socket: Socket): void {
     const { clock } = this.#options;
@@ -185,6 +216,9 @@
     this.#connected = false;
     if (!wasConnected) this.#failedAt = this.#options.clock.monotonic();
     const failure = wasConnected ? 'lost' : 'unreachable';
+    const unconfirmed = this.#unconfirmedCasts;
+    this.#unconfirmedCasts = [];
+    for (const cast of unconfirmed) cast.reject(this.#error(failure, reason));
     for (const [id, call] of this.#pending) {
       this.#pending.delete(id);
       call.cancel();
--- a/src/rpc/peer-connections.ts
+++ b/src/rpc/peer-connections.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Component, type Logger, parseAddress } from '../core';
-import type { CallName, RpcClient, CastName, RpcContract } from './contract';
+import type { CallName, CastName, ConfirmingRpcClient, RpcContract } from './contract';
 import { PeerConnection } from './peer-connection';
 
 export interface PeerConnectionsOptions {
@@ -8,7 +8,7 @@
 }
 
 /** Connections of this process to others, by address; opened by the first call or cast. */
-export class PeerConnections<C extends RpcContract> implements Component, RpcClient<C> {
+export class PeerConnections<C extends RpcContract> implements Component, ConfirmingRpcClient<C> {
   readonly #options: PeerConnectionsOptions;
   readonly #connections = new Map<string, PeerConnection>();
 
@@ -31,6 +31,14 @@
     this.#connectionTo(address).cast(name, body);
   }
 
+  castConfirmed<Name extends CastName<C>>(
+    address: string,
+    name: Name,
+    body: C['casts'][Name],
+  ): Promise<void> {
+    return this.#connectionTo(address).castConfirmed(name, body);
+  }
+
   /** Whether the connection to `address` is open. */
   isConnected(address: string): boolean {
     return this.#connections.get(address)?.connected ?? false;
--- a/src/rpc/tests/rpc.test.ts
+++ b/src/rpc/tests/rpc.test.ts
@@ -120,6 +120,49 @@
     });
   });
 
+  describe('a confirmed cast', () => {
+    it('resolves once a call that was sent after it is answered, but not before', async () => {
+      const target = formatAddress(address);
+      const order: string[] = [];
+      onNote = (text) => order.push(text);
+      const earlier = peers.call(target, 'double', 1, 5000);
+      const cast = peers.castConfirmed(target, 'note', 'read').then(() => order.push('confirmed'));
+      await earlier;
+      order.push('earlier call answered');
+      await peers.call(target, 'double', 2, 5000);
+      await cast;
+      const [answered, confirmed] = ['earlier call answered', 'confirmed'].map((entry) =>
+        order.indexOf(entry),
+      );
+      expect(order).toContain('read');
+      expect(confirmed).toBeGreaterThan(answered ?? Infinity);
+      expect(confirmed).toBeGreaterThan(order.indexOf('read'));
+    });
+
+    it('resolves without a further call, since a keepalive follows', async () => {
+      const clock = new ManualClock();
+      const client = new PeerConnections<TestContract>({ clock, logger: LOGGER });
+      await client.call(formatAddress(address), 'double', 1, 5000);
+      const cast = client.castConfirmed(formatAddress(address), 'note', 'read');
+      clock.advance(1000);
+      await cast;
+      client.stop();
+    });
+
+    it('rejects with `unreachable` if no process listens at the address', async () => {
+      await rpcServer.stop();
+      const cast = peers.castConfirmed(formatAddress(address), 'note', 'lost');
+      await expect(cast).rejects.toMatchObject({ failure: 'unreachable' });
+    });
+
+    it('rejects with `lost` if the connection ends before a later answer', async () => {
+      await peers.call(formatAddress(address), 'double', 1, 5000);
+      const cast = peers.castConfirmed(formatAddress(address), 'note', 'read or lost');
+      await rpcServer.stop();
+      await expect(cast).rejects.toMatchObject({ failure: 'lost' });
+    });
+  });
+
   describe('a connection', () => {
     it('sends a keepalive only after nothing was received for an interval', async () => {
       const clock = new ManualClock();
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -1,12 +1,14 @@
 import type { StoreView, ViewMember } from '../cluster';
-import { delay, messageOf } from '../core';
+import { type Component, delay, messageOf } from '../core';
+import type { ConfirmingRpcClient } from '../rpc';
 import type { ChainCache } from './chain-cache';
-import type { ChainAnswer, RecordAnswer } from './contract';
+import type { ChainAnswer, RecordAnswer, TurnContract } from './contract';
 import { TurnsUnavailableError } from './errors';
 import { queryInOrder } from './member-queries';
 import type { TurnRecord } from './records';
 import type { ReserveOptions, ReserveOutcome } from './reservation-budget';
 import { ReservationClient } from './reservation-client';
+import { SettlementOutbox } from './settlement-outbox';
 import {
   HEDGE_DELAY_MILLISECONDS,
   RETRY_DELAY_MILLISECONDS,
@@ -16,6 +18,7 @@
 } from './store-queries';
 
 export interface TurnClientOptions extends StoreQueriesOptions {
+  readonly peers: ConfirmingRpcClient<TurnContract>;
   readonly availabilityZone: string;
   readonly cache: ChainCache;
 }
@@ -25,16 +28,22 @@
   { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
 
 /** Reads and writes turns and budgets at a quorum of the current view's stores. */
-export class TurnClient {
+export class TurnClient implements Component {
   readonly #options: TurnClientOptions;
   readonly #stores: StoreQueries;
   readonly #reservations: ReservationClient;
+  readonly #settlements: SettlementOutbox;
 
   constructor(options: TurnClientOptions) {
     this.#options = options;
     const { clock, logger, metrics } = options;
     this.#stores = new StoreQueries(options);
     this.#reservations = new ReservationClient({ stores: this.#stores, clock, logger, metrics });
+    this.#settlements = new SettlementOutbox(options);
+  }
+
+  stop(): void {
+    this.#settlements.stop();
   }
 
   /** Reserves a turn's tokens; resolves with whether they fit in the budget. */
@@ -42,9 +51,12 @@
     return this.#reservations.reserve(options);
   }
 
-  /** Reduces the reservation of a turn that is not recorded to the tokens that it generated. */
+  /**
+   * Reduces the reservation of a turn that is not recorded to the tokens that it generated, 0 if it
+   * did not run. A store that misses it keeps counting the reserved maximum until it is repeated.
+   */
   settle(program: string, turn: string, tokens: number): void {
-    this.#reservations.settle(program, turn, tokens);
+    this.#settlements.send({ program, turn, tokens });
   }
 
   /**
--- a/src/turns/reservation-client.ts
+++ b/src/turns/reservation-client.ts
@@ -93,14 +93,6 @@
     return { fits: kind === 'fits', committedTokens, holders };
   }
 
-  /**
-   * Reduces the reservation of a turn that is not recorded to the tokens that it generated, 0 if it
-   * did not run. Best effort: a store that misses the message keeps counting the reserved maximum.
-   */
-  settle(program: string, turn: string, tokens: number): void {
-    this.#options.stores.castToAll({ program, turn, tokens });
-  }
-
   async #write(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
     const round = await this.#writeToPreferredReplicas(options);
     if (round.kind === 'decided') return round.answers;
--- a/src/turns/store-queries.ts
+++ b/src/turns/store-queries.ts
@@ -89,13 +89,6 @@
     this.#options.quorumMonitor.recordSuccess();
   }
 
-  /** Sends a one-way message to all members of the current view. */
-  castToAll(notice: TurnContract['casts']['turns.settle']): void {
-    for (const { address } of this.view?.members ?? []) {
-      this.#options.peers.cast(address, 'turns.settle', notice);
-    }
-  }
-
   adoptNewerView(answer: { readonly kind: string } | ViewMismatch): void {
     if (answer.kind === 'stale' && 'view' in answer) this.#options.view.offer(answer.view);
   }
--- a/src/turns/tests/reservations.test.ts
+++ b/src/turns/tests/reservations.test.ts
@@ -1,7 +1,7 @@
 import { LatestValue, type StoreView } from '../../cluster';
 import { Metrics, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import type { RpcClient } from '../../rpc';
+import type { ConfirmingRpcClient } from '../../rpc';
 import { ChainCache, type Reservation, TurnClient, type TurnContract } from '..';
 import type { ReserveRequest } from '../contract';
 import { flushEventLoop } from './simulated-cluster';
@@ -16,7 +16,7 @@
   /** Whether the first write of a reservation at a store waits for {@link release}. */
   delaysReservations = false;
 
-  readonly client: RpcClient<TurnContract> = {
+  readonly client: ConfirmingRpcClient<TurnContract> = {
     call: ((store: string, _name: string, body: Partial<ReserveRequest>): Promise<unknown> => {
       const recorded = this.#reservations.get(store) ?? [];
       this.#reservations.set(store, recorded);
@@ -34,14 +34,16 @@
           this.#delayedReservations.set(`${store} ${turn}`, record);
         else record();
       });
-    }) as RpcClient<TurnContract>['call'],
-    cast: (store: string, _name: string, notice: { readonly turn: string }) => {
+    }) as ConfirmingRpcClient<TurnContract>['call'],
+    cast: () => undefined,
+    castConfirmed: (store: string, _name: string, notice: { readonly turn: string }) => {
       const recorded = this.#reservations.get(store) ?? [];
       const settled = { turn: notice.turn, tokens: 0, settled: true };
       this.#reservations.set(store, [
         ...recorded.filter(({ turn }) => turn !== notice.turn),
         settled,
       ]);
+      return Promise.resolve();
     },
     isConnected: () => true,
   };
--- a/src/turns/tests/simulated-cluster.ts
+++ b/src/turns/tests/simulated-cluster.ts
@@ -1,13 +1,16 @@
 import { type KnownNode, LatestValue, type StoreView, planView } from '../../cluster';
 import { type Logger, Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import type { RpcClient } from '../../rpc';
+import type { ConfirmingRpcClient } from '../../rpc';
 import { SegmentedStore } from '../../storage';
 import { MemoryDisk } from '../../storage/tests/memory-disk';
 import { Backfill, ChainCache, TurnClient, type TurnContract, TurnJournal, TurnStore } from '..';
 
 const FOLDER = '/turns';
 
+/** Time after which a connection whose peer is silent is closed. */
+const LOSS_DETECTION_MILLISECONDS = 1500;
+
 type AnyCallHandler = (request: unknown) => unknown;
 
 /** A message in transit: a call, its answer or a cast. */
@@ -185,7 +188,7 @@
     return message !== undefined;
   }
 
-  caller(from: string): RpcClient<TurnContract> {
+  caller(from: string): ConfirmingRpcClient<TurnContract> {
     const call = (to: string, name: string, body: unknown, milliseconds: number) =>
       new Promise<unknown>((resolve, reject) => {
         this.callCounts.set(name, (this.callCounts.get(name) ?? 0) + 1);
@@ -206,10 +209,20 @@
         });
       });
     return {
-      call: call as RpcClient<TurnContract>['call'],
+      call: call as ConfirmingRpcClient<TurnContract>['call'],
       cast: (to, name, body) => {
         this.#send(from, to, () => this.#host(to).casts[name]?.(body));
       },
+      castConfirmed: (to, name, body) =>
+        new Promise((resolve, reject) => {
+          this.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
+            reject(new Error('the connection was lost'));
+          });
+          this.#send(from, to, () => {
+            this.#host(to).casts[name]?.(body);
+            this.#send(to, from, resolve);
+          });
+        }),
       isConnected: () => true,
     };
   }
--- a/src/turns/tests/simulated-network.ts
+++ b/src/turns/tests/simulated-network.ts
@@ -1,5 +1,5 @@
 import type { RandomSource } from '../../core';
-import type { RpcClient } from '../../rpc';
+import type { ConfirmingRpcClient } from '../../rpc';
 import type { SystemContract } from '../../nodes/contract';
 import type { EventClock } from './event-clock';
 import type { SimulatedProcess } from './simulated-process';
@@ -10,6 +10,9 @@
 /** Fraction of the messages sent into a cut that arrive after it is healed; the others are lost. */
 const HELD_FRACTION = 0.5;
 
+/** Time after which a connection whose peer is silent is closed. */
+const LOSS_DETECTION_MILLISECONDS = 1500;
+
 type CallHandler = (request: unknown) => unknown;
 
 export interface Endpoint {
@@ -70,7 +73,7 @@
     return ![...this.#cuts].some(({ separates }) => separates(left, right));
   }
 
-  clientOf(process: SimulatedProcess): RpcClient<SystemContract> {
+  clientOf(process: SimulatedProcess): ConfirmingRpcClient<SystemContract> {
     const call = (to: string, name: string, request: unknown, milliseconds: number) =>
       new Promise<unknown>((resolve, reject) => {
         const cancelTimeout = process.clock.after(milliseconds, () => {
@@ -99,10 +102,20 @@
         });
       });
     return {
-      call: call as RpcClient<SystemContract>['call'],
+      call: call as ConfirmingRpcClient<SystemContract>['call'],
       cast: (to, name, body) => {
         this.#send(process, to, ({ casts }) => casts[name]?.(body));
       },
+      castConfirmed: (to, name, body) =>
+        new Promise((resolve, reject) => {
+          process.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
+            reject(new Error('the connection was lost'));
+          });
+          this.#send(process, to, ({ casts }) => {
+            casts[name]?.(body);
+            resolve();
+          });
+        }),
       isConnected: (address) => {
         const endpoint = this.#endpoints.get(address);
         return endpoint !== undefined && this.isConnected(process.name, endpoint.process.name);
--- a/src/turns/tests/store-group.ts
+++ b/src/turns/tests/store-group.ts
@@ -1,7 +1,7 @@
 import { LatestValue, type StoreView } from '../../cluster';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import type { RpcClient } from '../../rpc';
+import type { ConfirmingRpcClient } from '../../rpc';
 import { SegmentedStore } from '../../storage';
 import { MemoryDisk } from '../../storage/tests/memory-disk';
 import {
@@ -108,7 +108,7 @@
     });
   }
 
-  peers(from: string): RpcClient<TurnContract> {
+  peers(from: string): ConfirmingRpcClient<TurnContract> {
     const call = async (to: string, name: string, request: unknown): Promise<unknown> => {
       if (this.#unreachable.get(from)?.has(to) === true) throw new Error(`${to} is unreachable`);
       const answer = await this.store(to).calls[name]?.(request);
@@ -116,8 +116,9 @@
       return answer;
     };
     return {
-      call: call as RpcClient<TurnContract>['call'],
+      call: call as ConfirmingRpcClient<TurnContract>['call'],
       cast: () => undefined,
+      castConfirmed: () => Promise.resolve(),
       isConnected: () => true,
     };
   }
