Failing test: a chat call whose begin got no answer leaves its step running

Nobody gives the step back: its tokens stay reserved, and the program's sequence is answered with 409 step-running while the entry lives. By reading and by this test of the entry; not seen with real processes.

Not mended here: an abandon in the background would be unbounded in an outage of the control hosts, and could be overtaken by the begin.

--- a/src/entry/tests/ended-turns.test.ts
+++ b/src/entry/tests/ended-turns.test.ts
@@ -4,7 +4,7 @@
 import type { Configuration, Target } from '../../configuration';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
-import { HEADERS } from '../../protocol';
+import { ControlUnavailableError, HEADERS } from '../../protocol';
 import { programIdOf } from '../../state';
 import { digestKey } from '../../teams';
 import { handleChat } from '../chat';
@@ -42,25 +42,41 @@
   readonly spent: boolean;
 }
 
-/** One chat call of a caller that names no program; `sendCall` stands for the target's sidecar. */
+const STANDALONE_HEADERS = {
+  authorization: 'Bearer key',
+  [HEADERS.deadline]: String(DEADLINE_MILLISECONDS),
+};
+
+const PROGRAM_HEADERS = {
+  ...STANDALONE_HEADERS,
+  [HEADERS.program]: programIdOf('0123456789abcdef01234567', 'programs-1'),
+  [HEADERS.sequence]: '1',
+};
+
+/** One chat call; `sendCall` stands for the target's sidecar. */
 class ChatScenario {
   readonly clock = new ManualClock();
   readonly abandoned: Abandoned[] = [];
   sentCount = 0;
   /** Runs once the control hosts have begun the step, before the entry knows. */
   onBegun: () => void = () => undefined;
+  /** Whether the control hosts' answer to the begin is lost. */
+  isBeginLost = false;
   sendCall: (call: TargetCall) => Promise<TargetResponse> = () =>
     Promise.reject(new CallError('the connection was reset', false));
+  readonly #headers: Readonly<Record<string, string>>;
   readonly #response = new EventEmitter() as unknown as ServerResponse;
 
+  /** By default, of a caller that names no program. */
+  constructor(headers: Readonly<Record<string, string>> = STANDALONE_HEADERS) {
+    this.#headers = headers;
+  }
+
   /** Resolves with the refusal. */
   async run(): Promise<unknown> {
     const body = JSON.stringify({ model: 'm', messages: [{ role: 'user', content: 'hello' }] });
     const request = Object.assign(Readable.from([Buffer.from(body)]), {
-      headers: {
-        authorization: 'Bearer key',
-        [HEADERS.deadline]: String(DEADLINE_MILLISECONDS),
-      },
+      headers: this.#headers,
     }) as unknown as IncomingMessage;
     return handleChat(this.#createContext(), request, this.#response).catch(
       (error: unknown) => error,
@@ -79,6 +95,9 @@
       begin: {
         mutate: () => {
           this.onBegun();
+          if (this.isBeginLost) {
+            return Promise.reject(new ControlUnavailableError('no control host answered', false));
+          }
           return Promise.resolve({
             outcome: 'run',
             sequence: 1,
@@ -203,3 +222,14 @@
     expect([scenario.sentCount, scenario.abandoned]).toMatchObject([1, [{ spent: true }]]);
   });
 });
+
+// Guards against a step that stays reserved and blocks its program because nobody knows that it began.
+describe('a chat call that gets no answer from the control hosts', () => {
+  it('gives its step back, since they may have begun it', async () => {
+    const scenario = new ChatScenario(PROGRAM_HEADERS);
+    scenario.isBeginLost = true;
+    expect(await scenario.run()).toMatchObject({ code: 'control-unavailable', outcome: 'not-run' });
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(scenario.abandoned).toMatchObject([{ spent: false }]);
+  });
+});
