Tests of request ends: a turn whose first attempt may have run, and the order of its release

Found missing by taking rules out one at a time: that a release waits for its reservation's outcome had no test.

--- a/src/gateway/tests/ended-requests.test.ts
+++ b/src/gateway/tests/ended-requests.test.ts
@@ -39,6 +39,13 @@
   ['the answer arrives', 'an error is thrown'],
 ];
 
+/** Points at which the first of two attempts has failed and a target may have run it. */
+const SENT_BEFORE: readonly (readonly [Point, Ending])[] = [
+  ['a target has reset the connection', 'its caller leaves'],
+  ['a target has reset the connection', 'its deadline passes'],
+  ['a target has reset the connection', 'its key is removed'],
+];
+
 const UNSENT_CALLS = UNSENT_TURNS.filter(
   ([point]) => point !== 'the reservation is made' && point !== 'the chain is read',
 );
@@ -58,6 +65,15 @@
       expect(refundCount).toBe(1);
     });
 
+    it('is given back only once the outcome of its reservation is known', async () => {
+      const { settled, isSettledEarly } = await run({
+        kind: 'stream',
+        point: 'the chain is read',
+        ending: 'an error is thrown',
+      });
+      expect([settled, isSettledEarly]).toEqual([[0], false]);
+    });
+
     it('is not even reserved if the caller has left before', async () => {
       const { reservationCount, sentCount, outcomes } = await run({
         kind: 'stream',
@@ -69,7 +85,7 @@
   });
 
   describe('for a turn that a target may have run', () => {
-    it.each(SENT)('is kept if, when %s, %s', async (point, ending) => {
+    it.each([...SENT, ...SENT_BEFORE])('is kept if, when %s, %s', async (point, ending) => {
       const { settled, refundCount, sentCount } = await run({ kind: 'stream', point, ending });
       expect([settled, refundCount, sentCount]).toEqual([[], 0, 1]);
     });
--- a/src/gateway/tests/request-scenario.ts
+++ b/src/gateway/tests/request-scenario.ts
@@ -1,4 +1,3 @@
-import type { Dispatcher } from 'undici';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import {
@@ -27,18 +26,17 @@
 import { Sender } from '../sender';
 import { TurnHandler } from '../turn-handler';
 import { TurnPreparer } from '../turn-preparer';
-import type { WireFormat } from '../wire-format';
+import {
+  SCRIPTED_WIRE,
+  type ScriptedTargetOptions,
+  connectToScriptedTarget,
+} from './scripted-target';
 
 const TIMEOUT_MILLISECONDS = 4000;
 
-const SERVER_BUSY_STATUS = 503;
-
-/** Header of an answer which says that the target did not run the request. */
-const NOT_RUN_HEADER = 'not-run';
-
 const TEAM = { name: 'team' } as Team;
 
-/** A moment in the life of a request; the last two are after the request was sent. */
+/** A moment in the life of a request; the last three are after the request was sent. */
 export type Point =
   | 'the body is read'
   | 'the quota is checked'
@@ -48,7 +46,8 @@
   | 'the connection is opened'
   | 'a target has answered that it did not run the request'
   | 'the request is sent'
-  | 'the answer arrives';
+  | 'the answer arrives'
+  | 'a target has reset the connection';
 
 /** Why a request ends. */
 export type Ending =
@@ -69,6 +68,9 @@
   refundCount = 0;
   reservationCount = 0;
   sentCount = 0;
+  hasReservationOutcome = false;
+  /** Whether the reservation was settled before its outcome was known. */
+  isSettledEarly = false;
   readonly #options: ScenarioOptions;
   readonly #clock = new ManualClock();
   readonly #random = new SeededRandom(1);
@@ -117,7 +119,7 @@
   }
 
   #createRequest(): { exchange: Exchange; route: Route; table: RouteTable } {
-    const { kind } = this.#options;
+    const { kind, point } = this.#options;
     const route: Route = {
       name: 'r',
       host: 'h',
@@ -128,7 +130,8 @@
       priority: 0,
       services: [{ service: 's', weight: 1 }],
       attempts: 2,
-      isResumable: false,
+      // Allows a second attempt after one whose outcome is unknown.
+      isResumable: point === 'a target has reset the connection',
       retentionSeconds: kind === 'stream' ? 60 : undefined,
       isPublic: false,
     };
@@ -209,7 +212,8 @@
     const turns: Pick<TurnClient, 'reserve' | 'chain' | 'settle' | 'record'> = {
       reserve: async () => {
         this.reservationCount += 1;
-        await Promise.resolve();
+        await new Promise((resolve) => setImmediate(resolve));
+        this.hasReservationOutcome = true;
         this.#reach('the reservation is made');
         return { fits: true, committedTokens: 0, holders: [] };
       },
@@ -220,6 +224,7 @@
       },
       settle: (_program, _turn, tokens) => {
         this.settled.push(tokens);
+        this.isSettledEarly ||= !this.hasReservationOutcome;
       },
       record: () => Promise.resolve(),
     };
@@ -262,7 +267,7 @@
       placementPolicies: createPlacementPolicies(DEFAULT_DECISION_SWITCHES),
       sender: new Sender({
         ...shared,
-        wire: WIRE,
+        wire: SCRIPTED_WIRE,
         connections: { acquire } as unknown as TargetConnectionPool,
       }),
       keyGuard: {
@@ -274,49 +279,30 @@
     });
   }
 
-  /** A connection to a target; without an ending before, the first answer says "not run". */
   #createConnection(): TargetConnection {
-    const isRejected =
-      this.#options.point === 'a target has answered that it did not run the request' &&
-      this.sentCount === 0;
-    return {
-      dispatch: (_options, handler) => {
+    const { point } = this.#options;
+    return connectToScriptedTarget({
+      answer: this.sentCount === 0 ? firstAnswerFor(point) : 'event stream',
+      onOpening: () => {
         this.#reach('the connection is opened');
-        if (this.#hasReached && this.#options.point === 'the connection is opened') return;
-        const controller = {
-          abort: () => undefined,
-          rawHeaders: [],
-        } as unknown as Dispatcher.DispatchController;
-        handler.onRequestStart?.(controller, {});
+        return point === 'the connection is opened';
+      },
+      onSent: () => {
         this.sentCount += 1;
         this.#reach('the request is sent');
-        if (isRejected) {
-          handler.onResponseStart?.(controller, SERVER_BUSY_STATUS, { [NOT_RUN_HEADER]: '1' });
-        } else handler.onResponseStart?.(controller, 200, {});
-        if (!isRejected) {
-          handler.onResponseData?.(controller, Buffer.from('data: one\n\n'));
-          this.#reach('the answer arrives');
-        }
-        handler.onResponseEnd?.(controller, {});
       },
-      ending: () => 'open',
-      release: () => {
+      onAnswer: () => {
+        this.#reach('the answer arrives');
+      },
+      onEnd: () => {
         this.#reach('a target has answered that it did not run the request');
+        this.#reach('a target has reset the connection');
       },
-      discard: () => undefined,
-    };
+    });
   }
 }
 
-const WIRE: WireFormat = {
-  readRequest: () => {
-    throw new Error('requests are not read from the wire here');
-  },
-  readResponse: (headers) => ({
-    requestId: undefined,
-    isSigned: true,
-    isNotRun: headers[NOT_RUN_HEADER] !== undefined,
-    isEncoded: false,
-  }),
-  buildTargetHeaders: () => [],
-};
+function firstAnswerFor(point: Point): ScriptedTargetOptions['answer'] {
+  if (point === 'a target has answered that it did not run the request') return 'not run';
+  return point === 'a target has reset the connection' ? 'reset' : 'event stream';
+}
