--- a/src/gateway/tests/attempt.test.ts
+++ b/src/gateway/tests/attempt.test.ts
@@ -17,6 +17,16 @@
   }),
 } as unknown as WireFormat;
 
+const REQUEST = {
+  wire: WIRE,
+  clock: CLOCK,
+  requestId: 'r',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: null,
+};
+
 // Guards against the process ending at a reset during a paused response that its connection delimits.
 describe('an attempt whose caller does not read', () => {
   let lifeCycle: LifeCycle;
@@ -48,13 +58,7 @@
     target.scripts.push({ ...script, beforeEnding });
     const attempt = new Attempt({
       connection: connections.acquire(state),
-      wire: WIRE,
-      clock: CLOCK,
-      requestId: 'r',
-      method: 'GET',
-      path: '/',
-      headers: [],
-      body: null,
+      ...REQUEST,
       receiver: {
         begin: () => undefined,
         write: () => {
@@ -87,13 +91,7 @@
         release: () => undefined,
         discard: () => undefined,
       },
-      wire: WIRE,
-      clock: CLOCK,
-      requestId: 'r',
-      method: 'GET',
-      path: '/',
-      headers: [],
-      body: null,
+      ...REQUEST,
     }).run();
 
   it('reports the request as unsent if it has not started', async () => {
