--- a/src/cluster/tests/simulated-network.ts
+++ b/src/cluster/tests/simulated-network.ts
@@ -1,5 +1,6 @@
 import type { Clock, RandomSource } from '../../core';
 import { type ConfirmingRpcClient, type RpcContract, RpcError } from '../../rpc';
+import { confirmOrReject } from '../../rpc/tests/simulated-confirmation';
 
 /** The handlers of one run of a process. */
 export interface SimulatedServer {
@@ -26,9 +27,6 @@
   readonly deliver: (server: SimulatedServer) => void;
 }
 
-/** Time after which a connection whose peer is silent is closed. */
-const LOSS_DETECTION_MILLISECONDS = 1500;
-
 const MINIMUM_DELAY_MILLISECONDS = 1;
 const MAXIMUM_DELAY_MILLISECONDS = 30;
 
@@ -113,13 +111,10 @@
         this.#send(caller.host, address, (server) => server.casts[name]?.(body));
       },
       castConfirmed: (address, name, body) =>
-        new Promise((resolve, reject) => {
-          caller.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
-            reject(RpcError.of('lost', 'connection lost'));
-          });
+        confirmOrReject(caller.clock, (confirm) => {
           this.#send(caller.host, address, (server) => {
             server.casts[name]?.(body);
-            resolve();
+            confirm();
           });
         }),
       isConnected: () => true,
--- a/src/gateway/tests/request-scenario.ts
+++ b/src/gateway/tests/request-scenario.ts
@@ -97,10 +97,10 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 
-  /** Ends the request if `point` is the chosen one; only the first time. */
+  /** Ends the request if `point` is the one of the options; only the first time. */
   #reach(point: Point): void {
-    const { point: chosen, ending } = this.#options;
-    if (point !== chosen || this.#hasReached) return;
+    const { point: endingPoint, ending } = this.#options;
+    if (point !== endingPoint || this.#hasReached) return;
     this.#hasReached = true;
     switch (ending) {
       case 'its caller leaves':
--- a/src/turns/tests/settlement-schedule.test.ts
+++ b/src/turns/tests/settlement-schedule.test.ts
@@ -41,7 +41,7 @@
   disruptions: fc.array(disruption, { maxLength: 5 }),
 });
 
-/** Found with 3,000 runs while each settlement was sent once. */
+/** Fails if each settlement is sent once. */
 const KNOWN_SCHEDULES: [SettlementSchedule][] = [
   [
     {
--- a/src/turns/tests/settlement-schedule.ts
+++ b/src/turns/tests/settlement-schedule.ts
@@ -63,7 +63,7 @@
 }
 
 /**
- * Runs turns and their ends in simulated time while gateways and stores are disturbed, no more stores
+ * Runs turns and their ends on a manual clock while gateways and stores are disturbed, no more stores
  * at once than the cluster tolerates, and then checks what is left of each budget.
  */
 export class SettlementSimulation {
--- a/src/turns/tests/simulated-cluster.ts
+++ b/src/turns/tests/simulated-cluster.ts
@@ -2,15 +2,13 @@
 import { type Logger, Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import type { ConfirmingRpcClient } from '../../rpc';
+import { confirmOrReject } from '../../rpc/tests/simulated-confirmation';
 import { SegmentedStore } from '../../storage';
 import { MemoryDisk } from '../../storage/tests/memory-disk';
 import { Backfill, ChainCache, TurnClient, type TurnContract, TurnJournal, TurnStore } from '..';
 
 const FOLDER = '/turns';
 
-/** Time after which a connection whose peer is silent is closed. */
-const LOSS_DETECTION_MILLISECONDS = 1500;
-
 type AnyCallHandler = (request: unknown) => unknown;
 
 /** A message in transit: a call, its answer or a cast. */
@@ -214,13 +212,10 @@
         this.#send(from, to, () => this.#host(to).casts[name]?.(body));
       },
       castConfirmed: (to, name, body) =>
-        new Promise((resolve, reject) => {
-          this.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
-            reject(new Error('the connection was lost'));
-          });
+        confirmOrReject(this.clock, (confirm) => {
           this.#send(from, to, () => {
             this.#host(to).casts[name]?.(body);
-            this.#send(to, from, resolve);
+            this.#send(to, from, confirm);
           });
         }),
       isConnected: () => true,
--- a/src/turns/tests/simulated-network.ts
+++ b/src/turns/tests/simulated-network.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '../../core';
 import type { ConfirmingRpcClient } from '../../rpc';
+import { confirmOrReject } from '../../rpc/tests/simulated-confirmation';
 import type { SystemContract } from '../../nodes/contract';
 import type { EventClock } from './event-clock';
 import type { SimulatedProcess } from './simulated-process';
@@ -10,9 +11,6 @@
 /** Fraction of the messages sent into a cut that arrive after it is healed; the others are lost. */
 const HELD_FRACTION = 0.5;
 
-/** Time after which a connection whose peer is silent is closed. */
-const LOSS_DETECTION_MILLISECONDS = 1500;
-
 type CallHandler = (request: unknown) => unknown;
 
 export interface Endpoint {
@@ -107,13 +105,10 @@
         this.#send(process, to, ({ casts }) => casts[name]?.(body));
       },
       castConfirmed: (to, name, body) =>
-        new Promise((resolve, reject) => {
-          process.clock.after(LOSS_DETECTION_MILLISECONDS, () => {
-            reject(new Error('the connection was lost'));
-          });
+        confirmOrReject(process.clock, (confirm) => {
           this.#send(process, to, ({ casts }) => {
             casts[name]?.(body);
-            resolve();
+            confirm();
           });
         }),
       isConnected: (address) => {
