Requests under which three targets ended are not sent to another

Cause: each try of a caller began with NO_ATTEMPTS.

The tries of a request now have a fingerprint (team, host, method, path, program, turn that it continues, body). A lost connection counts only when its target is found to have ended: it refuses a new connection, or the list or another server at its address shows it. Three gateways by rendezvous hashing collect the crashes of a request, and all gateways hear of it from the second one on. At three it gets 502 targets_ended at once; before, it is not hedged, and runs where the fewest others do.

A call whose connections are closed by targets that live on is served as before.

--- /dev/null
+++ b/src/crashes/index.ts
@@ -0,0 +1,6 @@
+export type { CrashContract } from './contract';
+export { CrashDetector } from './crash-detector';
+export { CrashExchange } from './crash-exchange';
+export { CrashGuard, type RequestCrashes, type TrackedRequest } from './crash-guard';
+export { CrashTable, type ObservedCrash } from './crash-table';
+export { type ProbeResult, TcpTargetProber, type TargetProber } from './target-prober';
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -9,6 +9,14 @@
   checkKey,
   isConfirmationValid,
 } from './key-check';
+export {
+  CRASH_LIMIT,
+  type Crash,
+  SUSPECT_CRASHES,
+  countCrashes,
+  decideAfterCrashes,
+  refuseAfterCrashes,
+} from './crash-limit';
 export { newConnectionMilliseconds } from './connection-cost';
 export { type PriorityShares, enginePriority } from './engine-priority';
 export {
--- a/src/decisions/placement-policies.ts
+++ b/src/decisions/placement-policies.ts
@@ -52,10 +52,16 @@
 export interface PlacementPolicies {
   readonly engine: PlacementPolicy;
   readonly slot: PlacementPolicy;
+  /** For requests that must disturb as few others as possible. */
+  readonly leastLoad: PlacementPolicy;
 }
 
 /** Creates the policies that the `placement-policy` setting names. */
 export function createPlacementPolicies(switches: DecisionSwitches): PlacementPolicies {
+  return { ...createNamedPolicies(switches), leastLoad: new LeastLoadPlacementPolicy() };
+}
+
+function createNamedPolicies(switches: DecisionSwitches): Omit<PlacementPolicies, 'leastLoad'> {
   switch (switches['placement-policy']) {
     case 'soonest':
       return {
--- a/src/decisions/refusal.ts
+++ b/src/decisions/refusal.ts
@@ -19,6 +19,7 @@
   | 'overloaded'
   | 'team_over_share'
   | 'outcome_unknown'
+  | 'targets_ended'
   | 'time_over';
 
 /** Response that a gateway generates itself. */
--- a/src/decisions/switches.ts
+++ b/src/decisions/switches.ts
@@ -34,6 +34,8 @@
     retries: z.boolean().default(true),
     /** Send a hedged request when a repeatable call is late. */
     'second-sends': z.boolean().default(true),
+    /** Stop requests under which targets end one after the other. */
+    'crash-limit': z.boolean().default(true),
     /** Send engines the priority of the request. */
     'engine-priorities': z.boolean().default(true),
     /** Let one gateway read the target list on behalf of all gateways. */
--- a/src/gateway/call-handler.ts
+++ b/src/gateway/call-handler.ts
@@ -56,6 +56,7 @@
     route,
     table,
     body: body.length > 0 ? body : null,
+    input: body,
     placement: placementOf(exchange),
     onAttempt: () => {
       holds.markAttempted();
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -1,9 +1,11 @@
 import type { Clock, Metrics, RandomSource } from '../core';
+import type { CrashGuard, RequestCrashes } from '../crashes';
 import {
   type DecisionSwitches,
   NO_ATTEMPTS,
   type NextStep,
   type PlacementPolicies,
+  type PlacementPolicy,
   type Refusal,
   type AttemptCounts,
   decideNext,
@@ -32,6 +34,8 @@
   readonly placementPolicies: PlacementPolicies;
   readonly sender: Pick<Sender, 'send'>;
   readonly keyGuard: Pick<KeyGuard, 'recheck'>;
+  /** Without it, a request may end any number of targets. */
+  readonly crashGuard?: Pick<CrashGuard, 'track'> | undefined;
   readonly durations: Pick<DurationAverages, 'averageOf'>;
   readonly switches: DecisionSwitches;
   readonly clock: Clock;
@@ -40,7 +44,9 @@
 }
 
 /** A request to be sent to a target of a route. */
-export interface ForwardRequest extends SendRequest {
+export interface ForwardRequest extends Omit<SendRequest, 'crashes'> {
+  /** The body as the caller sent it, without the turns that it continues. */
+  readonly input: Buffer | null;
   readonly route: Route;
   readonly table: RouteTable;
   readonly placement: PlacementRequest;
@@ -66,6 +72,7 @@
 /** State of a request across its attempts. */
 interface ForwardProgress {
   readonly request: ForwardRequest;
+  readonly crashes: RequestCrashes | undefined;
   readonly service: string;
   /** Ids of targets. */
   readonly tried: Set<string>;
@@ -84,9 +91,12 @@
   async forward(request: ForwardRequest): Promise<ForwardOutcome> {
     const { exchange, route } = request;
     const service = pickService(route.services, this.#options.random.fraction())?.service ?? '';
-    const progress: ForwardProgress = { request, service, tried: new Set() };
+    const crashes = this.#trackCrashes(request);
+    const progress: ForwardProgress = { request, crashes, service, tried: new Set() };
     let attempts = NO_ATTEMPTS;
     for (;;) {
+      const stopped = await crashes?.findRefusal();
+      if (stopped !== undefined) return refuse(stopped, attempts);
       if (exchange.hasDisconnected()) {
         return { kind: 'caller-disconnected', isNotRun: !attempts.mayHaveRun };
       }
@@ -118,6 +128,26 @@
     }
   }
 
+  #trackCrashes({ exchange, input }: ForwardRequest): RequestCrashes | undefined {
+    const { head, team, request } = exchange;
+    return this.#options.crashGuard?.track({
+      id: head.id ?? '',
+      program: head.program,
+      identity: () => ({
+        team: team?.name,
+        host: request.headers.host,
+        method: request.method ?? '',
+        path: request.url ?? '',
+        program: head.program,
+        previousTurn: head.previousTurn,
+        body: input,
+      }),
+      recordDecision: (decision) => {
+        exchange.recordDecision(decision);
+      },
+    });
+  }
+
   #decideNext(
     { route, exchange }: ForwardRequest,
     attempts: AttemptCounts,
@@ -140,9 +170,11 @@
     attempts: AttemptCounts,
   ): Promise<HedgedResult> {
     const { switches, sender, metrics } = this.#options;
-    const { request } = progress;
-    const first = sender.send(placement, request);
-    if (!switches['second-sends'] || !mayHedge(request.route, attempts)) {
+    const { request, crashes } = progress;
+    const tracked = { ...request, crashes };
+    const first = sender.send(placement, tracked);
+    const hasCrashes = crashes !== undefined && crashes.count > 0;
+    if (!switches['second-sends'] || hasCrashes || !mayHedge(request.route, attempts)) {
       return { outcome: await first, attemptCount: 1 };
     }
     return this.#hedger.run({
@@ -153,17 +185,17 @@
         const other = isAllowed ? this.#chooseTarget(progress) : undefined;
         if (other === undefined) return undefined;
         metrics.count('second_sends_total');
-        return sender.send(other, request);
+        return sender.send(other, tracked);
       },
     });
   }
 
-  #chooseTarget({ request, service, tried }: ForwardProgress): Placement | undefined {
-    const { placementPolicies, chooser } = this.#options;
+  #chooseTarget(progress: ForwardProgress): Placement | undefined {
+    const { request, service, tried } = progress;
     const settings = request.table.service(service);
-    const placement = chooser.choose({
+    const placement = this.#options.chooser.choose({
       service,
-      policy: settings?.engine === undefined ? placementPolicies.slot : placementPolicies.engine,
+      policy: this.#policyFor(progress),
       placement: request.placement,
       tried,
       connectionLimit: settings?.connectionLimit ?? Infinity,
@@ -172,6 +204,13 @@
     return placement;
   }
 
+  /** A suspect request goes where the fewest others would lose their target. */
+  #policyFor({ request, service, crashes }: ForwardProgress): PlacementPolicy {
+    const { slot, engine, leastLoad } = this.#options.placementPolicies;
+    if (crashes?.isSuspect === true) return leastLoad;
+    return request.table.service(service)?.engine === undefined ? slot : engine;
+  }
+
   #refuseExhausted({ service }: ForwardProgress, attempts: AttemptCounts): ForwardOutcome {
     if (attempts.mayHaveRun) return refuse(refuseUnknownOutcome('all tries failed'), attempts);
     const { targets, durations } = this.#options;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,8 +1,9 @@
 import type { Clock, Metrics } from '../core';
 import { type DecisionSwitches, type HealthEvent, MISDIRECTED_REQUEST_STATUS } from '../decisions';
 import type { ResponseRecord } from '../http';
-import type { Placement, TargetConnectionPool, DurationAverages } from '../targets';
+import type { DurationAverages, Placement, TargetConnectionPool, TargetState } from '../targets';
 import { type ResponseReceiver, Attempt, type AttemptOutcome } from './attempt';
+import type { RequestCrashes } from '../crashes';
 import type { Exchange } from './exchange';
 import type { WireFormat } from './wire-format';
 
@@ -23,6 +24,8 @@
   readonly body: Buffer | null;
   readonly priority?: number | undefined;
   readonly receiver?: ResponseReceiver | undefined;
+  /** Receives what the attempt says about the end of its target. */
+  readonly crashes?: RequestCrashes | undefined;
   /** Called when an attempt starts, so that the caller of `send` can resume a paused response. */
   readonly onAttempt?: (attempt: Attempt, placement: Placement) => void;
 }
@@ -57,9 +60,36 @@
     exchange.recordDecision(describeAttempt(placement, outcome, response));
     const event = this.#healthEvent(outcome, exchange);
     if (event !== undefined) placement.state.recordOutcome(event);
+    this.#recordCrash(placement.state, request, outcome, sentAt);
     return outcome;
   }
 
+  #recordCrash(
+    state: TargetState,
+    { crashes }: SendRequest,
+    outcome: AttemptOutcome,
+    sentAt: number,
+  ): void {
+    switch (outcome.kind) {
+      case 'unknown':
+        crashes?.recordLoss(state, 'connection-lost');
+        return;
+      case 'given-up':
+        if (outcome.sent && !outcome.began) crashes?.recordLoss(state, 'no-response');
+        return;
+      case 'not-run':
+        if (outcome.status === MISDIRECTED_REQUEST_STATUS) crashes?.recordAddressReused(state);
+        return;
+      case 'streamed':
+        crashes?.recordAnswered(sentAt);
+        return;
+      case 'answered':
+        if (outcome.status < LOWEST_SERVER_ERROR_STATUS) crashes?.recordAnswered(sentAt);
+        return;
+      case 'not-sent':
+    }
+  }
+
   async #attempt(placement: Placement, request: SendRequest): Promise<AttemptResult> {
     const { clock } = this.#options;
     const { exchange } = request;
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -53,6 +53,7 @@
   route: ROUTE,
   table: TABLE,
   body: null,
+  input: null,
   placement: { parts: [], promptTokens: 0, lastTarget: undefined, cachedTokens: 0 },
 };
 
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -112,6 +112,7 @@
       route,
       table,
       body: buildBody(chain, turn.input),
+      input: turn.input,
       placement: placementAfter(exchange, chain),
       onAttempt: (started: Attempt, placement: Placement) => {
         holds.markAttempted();
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -29,6 +29,7 @@
   DurationAverages,
 } from '../targets';
 import { ChainCache, QuorumMonitor, TurnClient } from '../turns';
+import { createCrashControl } from './crash-control';
 import { createEngineSharing } from './engine-sharing';
 import { HttpEndpoint } from './http-endpoint';
 import { NodeContext, type NodeContextOptions } from './node-context';
@@ -148,6 +149,7 @@
   });
   const teamAccessControlOptions = { context, self, client, confirmation, routes: () => table };
   const { keyGuard, quotas, quotaGate } = createTeamAccessControl(teamAccessControlOptions);
+  const crashControl = createCrashControl({ context, self, targets });
   const forwarder = new Forwarder({
     targets,
     chooser,
@@ -156,6 +158,7 @@
       ...{ wire: platform.wire, connections, durations, switches, clock, metrics },
     }),
     keyGuard,
+    crashGuard: switches['crash-limit'] ? crashControl.guard : undefined,
     durations,
     switches,
     clock,
@@ -218,7 +221,10 @@
   if (replicaComponents !== undefined) lifeCycle.add('cluster-state', replicaComponents.replica);
   lifeCycle.add(
     'rpc-server',
-    context.createRpcServer([service.calls, source.calls], [service.casts, ...engineSharing.casts]),
+    context.createRpcServer(
+      [service.calls, source.calls, crashControl.calls],
+      [service.casts, ...engineSharing.casts, crashControl.casts],
+    ),
   );
   lifeCycle.add('cluster-service', service);
   lifeCycle.add('heartbeat', heartbeatSender);
@@ -228,6 +234,7 @@
   lifeCycle.add('targets', targets);
   lifeCycle.add('quotas', quotas);
   engineSharing.addTo(lifeCycle);
+  crashControl.addTo(lifeCycle);
   addHttpEndpoint(context, lifeCycle, settings.listen.readiness, (_request, response) => {
     response.statusCode = isReady() ? 200 : 503;
     response.end();
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -10,7 +10,7 @@
 import { compareIncarnations, selectTargets } from './incarnation';
 import { ServiceTargets } from './service-targets';
 import { TargetState } from './state';
-import type { ListedTarget, TargetSource } from './target';
+import type { ListedTarget, TargetEnd, TargetSource } from './target';
 
 /**
  * Interval between reads of the target list. A draining target must be noticed within 3 s, and a
@@ -37,6 +37,7 @@
   readonly #targets = new Map<string, TargetState>();
   readonly #formerIncarnations = new FormerIncarnations();
   readonly #drainingListeners: ((state: TargetState) => void)[] = [];
+  readonly #endListeners: ((state: TargetState, end: TargetEnd) => void)[] = [];
   /** Targets that accept new requests, by service; rebuilt after each update of the list. */
   readonly #byService = new Map<string, ServiceTargets>();
   #stopped = false;
@@ -102,6 +103,11 @@
     this.#drainingListeners.push(listener);
   }
 
+  /** The listener is called with each target that ended without having been drained. */
+  onEnded(listener: (state: TargetState, end: TargetEnd) => void): void {
+    this.#endListeners.push(listener);
+  }
+
   /**
    * Replaces the targets by those of a complete list. An entry of an earlier run of a target changes
    * nothing: it comes from another writer or a delayed list.
@@ -113,11 +119,12 @@
     this.#byService.clear();
     const targets = selectTargets(list);
     const ids = new Set(targets.map(({ id }) => id));
+    const addresses = new Set(targets.map(({ address }) => address));
     for (const [id, state] of this.#targets) {
       if (ids.has(id)) continue;
       logger.info({ event: 'target-gone', target: id, address: state.target.address });
       this.#formerIncarnations.record(state.target, clock.monotonic());
-      this.#retire(state);
+      this.#retire(state, { kind: addresses.has(state.target.address) ? 'replaced' : 'gone' });
     }
     for (const target of targets) this.#apply(target);
   }
@@ -136,7 +143,7 @@
     } else if (order === 'newer') {
       const previousBorn = state.target.bornAt;
       logger.info({ event: 'target-restarted', target: id, address, born: bornAt, previousBorn });
-      this.#retire(state);
+      this.#retire(state, { kind: 'restarted', bornAt });
       this.#targets.set(id, new TargetState(target, clock));
     } else {
       this.#refresh(state, target);
@@ -154,10 +161,13 @@
     this.#notifyDraining(state);
   }
 
-  #retire(state: TargetState): void {
+  #retire(state: TargetState, end: TargetEnd): void {
     this.#targets.delete(state.target.id);
     state.isRetired = true;
     this.#notifyDraining(state);
+    if (state.target.draining) return;
+    state.end = end;
+    for (const listener of this.#endListeners) listener(state, end);
   }
 
   #notifyDraining(state: TargetState): void {
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -15,4 +15,4 @@
 export { SharedTargetSource, type TargetListContract } from './shared-source';
 export { TargetState } from './state';
 export { DurationAverages } from './duration-averages';
-export type { ListedTarget, PromptPart, TargetSource } from './target';
+export type { ListedTarget, PromptPart, TargetEnd, TargetSource } from './target';
--- a/src/targets/state.ts
+++ b/src/targets/state.ts
@@ -8,7 +8,7 @@
   nextHealth,
 } from '../decisions';
 import type { KnownIncarnation } from './incarnation';
-import type { ListedTarget, PromptPart } from './target';
+import type { ListedTarget, PromptPart, TargetEnd } from './target';
 
 /** Maximum number of prompt parts that are tracked per engine. */
 const CACHED_PART_LIMIT = 4096;
@@ -26,6 +26,8 @@
   inFlightFromOthers = 0;
   /** Whether the target was removed or has restarted; only requests in flight use the state. */
   isRetired = false;
+  /** How the target ended, if it was not drained; undefined as long as it is on the list. */
+  end: TargetEnd | undefined;
   readonly #listedAt: number;
   #health = INITIAL_TARGET_HEALTH;
 
--- a/src/targets/target.ts
+++ b/src/targets/target.ts
@@ -13,6 +13,14 @@
   readonly bornAt?: number | undefined;
 }
 
+/** How the target list shows that a target ended without having been drained. */
+export type TargetEnd =
+  | { readonly kind: 'gone' }
+  /** Another server has its address. */
+  | { readonly kind: 'replaced' }
+  /** A later run of the server has its id. */
+  | { readonly kind: 'restarted'; readonly bornAt: number | undefined };
+
 /** Reads the platform's list of servers. */
 export interface TargetSource {
   /** Resolves with the complete list, one entry per id; rejects if it can't be read. */
