--- a/src/crashes/contract.ts
+++ b/src/crashes/contract.ts
@@ -21,6 +21,11 @@
   readonly calls: {
     /** To a holder, which answers with all crashes that it knows of. */
     readonly 'crashes.report': { readonly request: CrashReport; readonly answer: CrashReport };
+    /** From a gateway that has started; answered with all suspect requests. */
+    readonly 'crashes.suspects': {
+      readonly request: null;
+      readonly answer: readonly CrashReport[];
+    };
   };
   readonly casts: {
     /** From a holder to all gateways, once another crash may reach the limit. */
--- a/src/crashes/crash-exchange.ts
+++ b/src/crashes/crash-exchange.ts
@@ -10,7 +10,10 @@
 const REPORT_TIMEOUT_MILLISECONDS = 150;
 
 /** Interval of the check whether a gateway lacks a crash that it should know. */
-const REPAIR_INTERVAL_MILLISECONDS = 300;
+const REPAIR_INTERVAL_MILLISECONDS = 100;
+
+/** Gateways that one that has started asks for suspect requests. */
+const ASKED_GATEWAYS = 3;
 
 export interface CrashExchangeOptions {
   readonly self: NodeInfo;
@@ -24,18 +27,20 @@
 /**
  * Shares crashes between the gateways, so that a caller's next try meets them at any gateway. A crash
  * goes to the holders of its request. Only a request that is suspect is told to all gateways: when a
- * rack ends, thousands of requests have one crash each. What a gateway missed because it was lost,
- * paused or started anew is sent to it again.
+ * rack ends, thousands of requests have one crash each. What a gateway missed because it was lost or
+ * paused is sent to it again, and one that starts asks for it.
  */
 export class CrashExchange implements Component {
   readonly #options: CrashExchangeOptions;
   /** Number of crashes that runs of gateways have confirmed, by fingerprint. */
   readonly #delivered = new Map<string, Map<string, number>>();
   readonly #repair: PeriodicTask;
+  #hasAsked = false;
 
   constructor(options: CrashExchangeOptions) {
     this.#options = options;
     this.#repair = new PeriodicTask(options.clock, REPAIR_INTERVAL_MILLISECONDS, () => {
+      void this.#ask();
       this.#repairAll();
     });
   }
@@ -49,12 +54,18 @@
   }
 
   get calls(): CallHandlers<CrashContract> {
+    const { table } = this.#options;
     return {
       'crashes.report': (report) => {
         const { fingerprint } = report;
         if (this.#merge(report)) this.#tellIfSuspect(fingerprint);
         return this.#reportOf(fingerprint);
       },
+      'crashes.suspects': () =>
+        table
+          .fingerprints()
+          .filter((fingerprint) => table.countOf(fingerprint) >= SUSPECT_CRASHES)
+          .map((fingerprint) => this.#reportOf(fingerprint)),
     };
   }
 
@@ -89,6 +100,23 @@
     this.#tellAnswered(this.#holdersOf(fingerprint), fingerprint, startedAt);
   }
 
+  /** Asks other gateways for suspect requests once after the start. */
+  async #ask(): Promise<void> {
+    const { peers } = this.#options;
+    const asked = this.#gateways().slice(0, ASKED_GATEWAYS);
+    if (this.#hasAsked || asked.length === 0) return;
+    this.#hasAsked = true;
+    const answers = await Promise.allSettled(
+      asked.map(({ address }) =>
+        peers.call(address, 'crashes.suspects', null, REPORT_TIMEOUT_MILLISECONDS),
+      ),
+    );
+    for (const answer of answers) {
+      if (answer.status === 'fulfilled') for (const report of answer.value) this.#merge(report);
+    }
+    if (!answers.some(({ status }) => status === 'fulfilled')) this.#hasAsked = false;
+  }
+
   async #reportTo({ address, run }: NodeInfo, fingerprint: string): Promise<void> {
     const { peers, table } = this.#options;
     const report = this.#reportOf(fingerprint);
