--- a/src/crashes/crash-exchange.ts
+++ b/src/crashes/crash-exchange.ts
@@ -10,7 +10,7 @@
 const REPORT_TIMEOUT_MILLISECONDS = 150;
 
 /** Interval of the check whether a gateway lacks a crash that it should know. */
-const REPAIR_INTERVAL_MILLISECONDS = 100;
+const REPAIR_INTERVAL_MILLISECONDS = 300;
 
 /** Gateways that one that has started asks for suspect requests. */
 const ASKED_GATEWAYS = 3;
@@ -42,7 +42,7 @@
   constructor(options: CrashExchangeOptions) {
     this.#options = options;
     this.#repair = new PeriodicTask(options.clock, REPAIR_INTERVAL_MILLISECONDS, () => {
-      if (this.#firstAsk === undefined) void this.whenInformed();
+      if (this.#firstAsk === undefined) void this.whenAsked();
       else if (!this.#hasAnswer) void this.#ask();
       this.#repairAll();
     });
@@ -87,12 +87,17 @@
     };
   }
 
+  /** Whether another gateway has told which requests are suspect. */
+  get isInformed(): boolean {
+    return this.#hasAnswer;
+  }
+
   /**
    * Resolves once other gateways were asked for the suspect requests that they know of; at once if
    * this one knows no other.
    */
-  async whenInformed(): Promise<void> {
-    if (this.#gateways().length > 0) this.#firstAsk ??= this.#ask();
+  async whenAsked(): Promise<void> {
+    if (this.#firstAsk === undefined && this.#gateways().length > 0) this.#firstAsk = this.#ask();
     await this.#firstAsk;
   }
 
--- a/src/crashes/crash-guard.ts
+++ b/src/crashes/crash-guard.ts
@@ -26,7 +26,7 @@
   readonly gateway: string;
   readonly table: CrashTable;
   readonly detector: Pick<CrashDetector, 'record' | 'recordAddressReused'>;
-  readonly exchange: Pick<CrashExchange, 'report' | 'reportAnswered' | 'whenInformed'>;
+  readonly exchange: Pick<CrashExchange, 'report' | 'reportAnswered' | 'isInformed' | 'whenAsked'>;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -76,9 +76,15 @@
     return this.#fingerprint;
   }
 
+  /** Whether {@link findRefusal} has anything to check. */
+  get needsCheck(): boolean {
+    const { table, exchange } = this.#options;
+    return !exchange.isInformed || table.size > 0 || this.#unconfirmed.size > 0;
+  }
+
   /** Refusal before the next attempt; undefined if the request may be sent. */
   async findRefusal(): Promise<Refusal | undefined> {
-    await this.#options.exchange.whenInformed();
+    await this.#options.exchange.whenAsked();
     const counts = { confirmed: this.count, unconfirmed: this.#unconfirmed.size };
     const decision = decideAfterCrashes(counts);
     if (decision.kind === 'confirm') await Promise.all(this.#unconfirmed);
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -95,7 +95,7 @@
     const progress: ForwardProgress = { request, crashes, service, tried: new Set() };
     let attempts = NO_ATTEMPTS;
     for (;;) {
-      const stopped = await crashes?.findRefusal();
+      const stopped = crashes?.needsCheck === true ? await crashes.findRefusal() : undefined;
       if (stopped !== undefined) return refuse(stopped, attempts);
       if (exchange.hasDisconnected()) {
         return { kind: 'caller-disconnected', isNotRun: !attempts.mayHaveRun };
