Requests that are given up without a response open no connection to their target

Such a target now counts as ended only if the list drops it before it responds to anybody. A gateway that starts asks those first to which it has a connection. explain names a line once.

--- a/src/crashes/crash-detector.ts
+++ b/src/crashes/crash-detector.ts
@@ -61,19 +61,33 @@
     this.#waiting.clear();
   }
 
-  /** Resolves once it is known whether the target refuses connections. */
-  async record(loss: Loss): Promise<void> {
-    const { state } = loss;
-    const waiting = { ...loss, lostAt: this.#options.clock.monotonic() };
-    if (state.end !== undefined) loss.onCrash(`list-${state.end.kind}`, waiting.lostAt);
-    if (state.target.draining || state.isRetired) return;
-    this.#wait(waiting);
-    const result = await this.#probe(state);
+  /**
+   * Records a request whose connection was lost. Resolves once it is known whether the target refuses
+   * connections.
+   */
+  async recordLostConnection(loss: Loss): Promise<void> {
+    const waiting = this.#wait(loss);
+    if (waiting === undefined) return;
+    const result = await this.#probe(loss.state);
     // Whatever ends this target later does not belong to the request.
     if (result === 'accepted') this.#waiting.delete(waiting);
     if (result === 'refused') this.#confirm(waiting, 'connection-refused');
   }
 
+  /**
+   * Records a request that was given up without a response. Its target is not probed: a process that
+   * was paused gives up many at once, and would open as many connections.
+   */
+  recordSilence(loss: Loss): void {
+    this.#wait(loss);
+  }
+
+  /** Records that a target has responded to some request. */
+  recordResponse(state: TargetState): void {
+    if (this.#waiting.size === 0) return;
+    for (const loss of this.#waitingAt(state)) this.#waiting.delete(loss);
+  }
+
   /** Records that another server answered at the target's address. */
   recordAddressReused(state: TargetState): void {
     for (const loss of this.#waitingAt(state)) this.#confirm(loss, 'address-reused');
@@ -102,11 +116,17 @@
     return [...this.#waiting].filter((loss) => loss.state === state);
   }
 
-  #wait(loss: WaitingLoss): void {
+  /** Returns undefined if it is known already how the target ended. */
+  #wait(loss: Loss): WaitingLoss | undefined {
+    const { state, onCrash } = loss;
+    const waiting = { ...loss, lostAt: this.#options.clock.monotonic() };
+    if (state.end !== undefined) onCrash(`list-${state.end.kind}`, waiting.lostAt);
+    if (state.target.draining || state.isRetired) return undefined;
     const [oldest] = this.#waiting;
     if (this.#waiting.size >= WAITING_LIMIT && oldest !== undefined) this.#waiting.delete(oldest);
-    this.#waiting.add(loss);
+    this.#waiting.add(waiting);
     this.#scheduleExpiry();
+    return waiting;
   }
 
   #scheduleExpiry(): void {
--- a/src/crashes/crash-exchange.ts
+++ b/src/crashes/crash-exchange.ts
@@ -119,8 +119,12 @@
 
   async #ask(): Promise<void> {
     const { peers } = this.#options;
+    const isConnected = ({ address }: NodeInfo) => peers.isConnected(address);
+    const connectedFirst = this.#gateways().toSorted(
+      (left, right) => Number(isConnected(right)) - Number(isConnected(left)),
+    );
     const answers = await Promise.allSettled(
-      this.#gateways()
+      connectedFirst
         .slice(0, ASKED_GATEWAYS)
         .map(({ address }) =>
           peers.call(address, 'crashes.suspects', null, REPORT_TIMEOUT_MILLISECONDS),
--- a/src/crashes/crash-guard.ts
+++ b/src/crashes/crash-guard.ts
@@ -25,7 +25,10 @@
   /** Name of this gateway. */
   readonly gateway: string;
   readonly table: CrashTable;
-  readonly detector: Pick<CrashDetector, 'record' | 'recordAddressReused'>;
+  readonly detector: Pick<
+    CrashDetector,
+    'recordLostConnection' | 'recordSilence' | 'recordResponse' | 'recordAddressReused'
+  >;
   readonly exchange: Pick<CrashExchange, 'report' | 'reportAnswered' | 'isInformed' | 'whenAsked'>;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -92,12 +95,24 @@
     return confirmed < CRASH_LIMIT ? undefined : this.#stop(confirmed);
   }
 
-  /** Records that the connection to a target was lost, or that there was no response. */
-  recordLoss(state: TargetState): void {
+  /** Records that the connection to a target was lost before the whole response. */
+  recordLostConnection(state: TargetState): void {
     const loss = this.#confirm(state).finally(() => this.#unconfirmed.delete(loss));
     this.#unconfirmed.add(loss);
   }
 
+  /** Records that a target was given up without a response. */
+  recordSilence(state: TargetState): void {
+    const onCrash = (evidence: CrashEvidence, lostAt: number) => {
+      void this.#recordCrash(state, evidence, lostAt);
+    };
+    this.#options.detector.recordSilence({ state, onCrash });
+  }
+
+  recordResponse(state: TargetState): void {
+    this.#options.detector.recordResponse(state);
+  }
+
   recordAddressReused(state: TargetState): void {
     this.#options.detector.recordAddressReused(state);
   }
@@ -116,7 +131,7 @@
     const onCrash = (evidence: CrashEvidence, lostAt: number) => {
       report = this.#recordCrash(state, evidence, lostAt);
     };
-    await this.#options.detector.record({ state, onCrash });
+    await this.#options.detector.recordLostConnection({ state, onCrash });
     await report;
   }
 
--- /dev/null
+++ b/src/crashes/tests/crash-detector.test.ts
@@ -0,0 +1,118 @@
+import { ManualClock } from '../../core/tests/manual-clock';
+import type { ListedTarget, TargetEnd } from '../../targets';
+import { TargetState } from '../../targets';
+import { CrashDetector } from '..';
+import type { ProbeResult } from '../target-prober';
+
+const TARGET: ListedTarget = {
+  ...{ id: 't', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', slots: 1 },
+  draining: false,
+};
+
+/** Records one loss whose probe has the given result. */
+function loseTarget(result: ProbeResult, target = TARGET) {
+  const clock = new ManualClock();
+  const state = new TargetState(target, clock);
+  let notify: (state: TargetState, end: TargetEnd) => void = () => undefined;
+  const targets = {
+    onEnded: (listener: typeof notify) => {
+      notify = listener;
+    },
+  };
+  const probe = jest.fn(() => Promise.resolve(result));
+  const detector = new CrashDetector({ targets, prober: { probe }, clock });
+  const evidence: string[] = [];
+  const loss = {
+    state,
+    onCrash: (kind: string) => {
+      evidence.push(kind);
+    },
+  };
+  const record = () => detector.recordLostConnection(loss);
+  const recordSilence = () => {
+    detector.recordSilence(loss);
+  };
+  const end = (how: TargetEnd) => {
+    notify(state, how);
+  };
+  return { clock, state, detector, probe, evidence, record, recordSilence, end };
+}
+
+describe('a target whose connection was lost', () => {
+  it('has ended if it refuses a new connection', async () => {
+    const { evidence, record } = loseTarget('refused');
+    await record();
+    expect(evidence).toEqual(['connection-refused']);
+  });
+
+  it('has not ended if it accepts one, whatever ends it later', async () => {
+    const { evidence, record, end, detector, state } = loseTarget('accepted');
+    await record();
+    end({ kind: 'gone' });
+    detector.recordAddressReused(state);
+    expect(evidence).toEqual([]);
+  });
+
+  it('has ended as planned if it was draining', async () => {
+    const { evidence, record, probe } = loseTarget('refused', { ...TARGET, draining: true });
+    await record();
+    expect([evidence, probe.mock.calls.length]).toEqual([[], 0]);
+  });
+
+  it('is probed once for all requests that lost it', async () => {
+    const { evidence, record, probe } = loseTarget('refused');
+    await Promise.all([record(), record(), record()]);
+    expect([evidence.length, probe.mock.calls.length]).toEqual([3, 1]);
+  });
+
+  describe('and that does not answer a new one', () => {
+    it('has ended once the list drops it', async () => {
+      const { evidence, record, end } = loseTarget('silent');
+      await record();
+      expect(evidence).toEqual([]);
+      end({ kind: 'gone' });
+      end({ kind: 'gone' });
+      expect(evidence).toEqual(['list-gone']);
+    });
+
+    it('has ended once another server answers at its address', async () => {
+      const { evidence, record, detector, state } = loseTarget('silent');
+      await record();
+      detector.recordAddressReused(state);
+      expect(evidence).toEqual(['address-reused']);
+    });
+
+    it('has not ended if the list drops it much later', async () => {
+      const { clock, evidence, record, end } = loseTarget('silent');
+      await record();
+      clock.advance(6000);
+      end({ kind: 'gone' });
+      expect(evidence).toEqual([]);
+    });
+  });
+
+  it('has ended if the list had dropped it before', async () => {
+    const { evidence, record, state, probe } = loseTarget('accepted');
+    state.isRetired = true;
+    state.end = { kind: 'gone' };
+    await record();
+    expect([evidence, probe.mock.calls.length]).toEqual([['list-gone'], 0]);
+  });
+});
+
+describe('a target that has not responded until its request was given up', () => {
+  it('is not probed, and has ended once the list drops it', () => {
+    const { evidence, recordSilence, probe, end } = loseTarget('accepted');
+    recordSilence();
+    end({ kind: 'gone' });
+    expect([evidence, probe.mock.calls.length]).toEqual([['list-gone'], 0]);
+  });
+
+  it('has not ended if it responds to another request first', () => {
+    const { evidence, recordSilence, detector, state, end } = loseTarget('accepted');
+    recordSilence();
+    detector.recordResponse(state);
+    end({ kind: 'gone' });
+    expect(evidence).toEqual([]);
+  });
+});
--- a/src/explain/log-trace.ts
+++ b/src/explain/log-trace.ts
@@ -45,8 +45,9 @@
 function processEventsAround(lines: readonly LogLine[], about: LogLine): readonly LogLine[] {
   const end = Date.parse(about.time);
   const start = end - (about.milliseconds ?? 0) - CONTEXT_MILLISECONDS;
-  return lines.filter(({ host, event, time }) => {
+  return lines.filter(({ host, event, time, request }) => {
     const at = Date.parse(time);
-    return host === about.host && !REQUEST_EVENTS.has(event) && at >= start && at <= end;
+    if (host !== about.host || request === about.request) return false;
+    return !REQUEST_EVENTS.has(event) && at >= start && at <= end;
   });
 }
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -73,27 +73,30 @@
     outcome: AttemptOutcome,
     sentAt: number,
   ): void {
-    const isSilent = this.#options.clock.monotonic() - sentAt >= SILENCE_MILLISECONDS;
+    if (crashes === undefined) return;
     switch (outcome.kind) {
       case 'unknown':
-        crashes?.recordLoss(state);
+        crashes.recordLostConnection(state);
         return;
       case 'given-up':
-        if (outcome.sent && !outcome.began && isSilent) crashes?.recordLoss(state);
+        if (outcome.sent && !outcome.began && this.#isSilent(sentAt)) crashes.recordSilence(state);
         return;
       case 'not-run':
-        if (outcome.status === MISDIRECTED_REQUEST_STATUS) crashes?.recordAddressReused(state);
+        if (outcome.status === MISDIRECTED_REQUEST_STATUS) crashes.recordAddressReused(state);
         return;
       case 'streamed':
-        crashes?.recordAnswered(sentAt);
-        return;
       case 'answered':
-        if (outcome.status < LOWEST_SERVER_ERROR_STATUS) crashes?.recordAnswered(sentAt);
+        crashes.recordResponse(state);
+        if (!isServerError(outcome)) crashes.recordAnswered(sentAt);
         return;
       case 'not-sent':
     }
   }
 
+  #isSilent(sentAt: number): boolean {
+    return this.#options.clock.monotonic() - sentAt >= SILENCE_MILLISECONDS;
+  }
+
   async #attempt(placement: Placement, request: SendRequest): Promise<AttemptResult> {
     const { clock } = this.#options;
     const { exchange } = request;
@@ -159,6 +162,10 @@
   }
 }
 
+function isServerError(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'answered' && outcome.status >= LOWEST_SERVER_ERROR_STATUS;
+}
+
 function countedResponse({ framing, ending, eventStream }: ResponseRecord): string {
   const endsInsideEvent = eventStream?.endsInsideEvent ?? false;
   return `target_responses_total{framing="${framing}",ending="${ending}",inside_event="${String(endsInsideEvent)}"}`;
