--- a/src/explain/tests/explain.test.ts
+++ b/src/explain/tests/explain.test.ts
@@ -67,6 +67,17 @@
       ['request', undefined],
     ]);
   });
+
+  it('includes the end of a target under the request once', () => {
+    const { lines } = readLog(
+      [
+        line('g1', 4000, { event: 'target-ended-under-request', request: 'r1', program: 'p' }),
+        request('g1', 4010, 'r1', { outcome: 'refused', status: 502 }),
+      ].join('\n'),
+    );
+    const { lines: traced } = buildTrace(lines, 'r1');
+    expect(traced.map(({ event }) => event)).toEqual(['target-ended-under-request', 'request']);
+  });
 });
 
 describe('countCauses', () => {
