--- a/review/common-2/engine.mjs
+++ b/review/common-2/engine.mjs
@@ -44,6 +44,7 @@
         return;
       }
       this.ran.push({ id, arrivedAt, body: Buffer.concat(chunks).toString() });
+      this.onRun?.({ id });
       response.writeHead(200, {
         'Content-Type': 'text/event-stream',
         'X-Martenbay-Server-Signature': `${this.id}.${id}`,
