Stores acknowledge a turn only with its whole chain

Cause: a store expires turns by what it holds itself. The turns of the second program went to other stores, so a store that held only the first program's turns dropped them 60 s after their retention, while the chain went on. One copy of an acknowledged turn was left without a sign, and the next lost disk took it. The test reproduces it with no store that has missed anything: of 12 conversations 5 ended with "turn c1-1, which c1-14 continues, is not found".

Change: the answer to turns.record names the nearest turn of the chain that the store lacks. Only stores that lack none count towards the quorum; the gateway, which has read the chain for the prompt, sends as many of them as the quorum needs the rest (turns.extend, pages of 256 KiB). A store keeps the ancestors of all turns that it keeps, so what was acknowledged is never dropped before the end of its chain, and a chain is read from one store. An answer with a chain is bounded to 1 MiB and continued by the reader. A chain of turns that name each other no longer loops.

When the disk of s0 is to be lost, after 13 more turns, 8 of them are held by one, and the five whose last copy is at s0 are the five that are not found. This rules out copies that never existed and a backfill that left rows out: the second copy is gone before any disturbance.

--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -28,6 +28,14 @@
   readonly metrics: Metrics;
 }
 
+/** A turn that was forwarded. */
+interface SentTurn extends Turn {
+  readonly chain: Chain;
+  readonly output: EventDataCollector;
+  /** Undefined if no attempt was made. */
+  readonly lastPlacement: Placement | undefined;
+}
+
 /** Streams turns from engines, and enforces budgets and records turns. */
 export class TurnHandler {
   readonly #options: TurnHandlerOptions;
@@ -132,19 +140,14 @@
     const outcome = await engineAdmission.run(turn, (priority) =>
       forwarder.forward({ ...request, priority }),
     );
-    await this.#finish(turn, outcome, output, lastPlacement);
+    await this.#finish({ ...turn, chain, output, lastPlacement }, outcome);
   }
 
-  async #finish(
-    turn: Turn,
-    outcome: ForwardOutcome,
-    output: EventDataCollector,
-    lastPlacement: Placement | undefined,
-  ): Promise<void> {
-    const { exchange } = turn;
+  async #finish(turn: SentTurn, outcome: ForwardOutcome): Promise<void> {
+    const { exchange, output } = turn;
     switch (outcome.kind) {
       case 'streamed':
-        await this.#complete(turn, output, lastPlacement);
+        await this.#complete(turn);
         return;
       case 'answered':
         if (outcome.status < 500) this.#options.preparer.settle(turn, 0);
@@ -168,12 +171,9 @@
   }
 
   /** Ends the response only after the turn is recorded, so that the caller can continue it. */
-  async #complete(
-    turn: Turn,
-    output: EventDataCollector,
-    lastPlacement: Placement | undefined,
-  ): Promise<void> {
+  async #complete(turn: SentTurn): Promise<void> {
     const { exchange, route, table, id, program, previous, input } = turn;
+    const { chain, output, lastPlacement } = turn;
     const { clock, turns, metrics, preparer, chooser } = this.#options;
     const engine = engineOf(table, lastPlacement);
     const tokens = output.count * (engine?.tokensPerEvent ?? 1);
@@ -200,6 +200,7 @@
             target: lastPlacement?.state.target.id ?? '',
           },
           Math.max(exchange.deadline, startedAt + MINIMUM_RECORD_TIMEOUT_MILLISECONDS),
+          chain,
         );
       } catch (error) {
         if (!(error instanceof MartenbayError)) throw error;
--- a/src/turns/client.ts
+++ b/src/turns/client.ts
@@ -2,10 +2,10 @@
 import { type Component, delay, messageOf } from '../core';
 import type { ConfirmingRpcClient } from '../rpc';
 import type { ChainCache } from './chain-cache';
-import type { ChainAnswer, RecordAnswer, TurnContract } from './contract';
+import type { ChainAnswer, TurnContract } from './contract';
 import { TurnsUnavailableError } from './errors';
 import { queryInOrder } from './member-queries';
-import type { TurnRecord } from './records';
+import type { ChainLookup, TurnRecord } from './records';
 import type { ReserveOptions, ReserveOutcome } from './reservation-budget';
 import { ReservationClient } from './reservation-client';
 import { SettlementOutbox } from './settlement-outbox';
@@ -16,6 +16,7 @@
   StoreQueries,
   type StoreQueriesOptions,
 } from './store-queries';
+import { TurnRecorder } from './turn-recorder';
 
 export interface TurnClientOptions extends StoreQueriesOptions {
   readonly peers: ConfirmingRpcClient<TurnContract>;
@@ -23,16 +24,13 @@
   readonly cache: ChainCache;
 }
 
-/** A turn and its ancestors, oldest first. */
-export type ChainLookup =
-  { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
-
 /** Reads and writes turns and budgets at a quorum of the current view's stores. */
 export class TurnClient implements Component {
   readonly #options: TurnClientOptions;
   readonly #stores: StoreQueries;
   readonly #reservations: ReservationClient;
   readonly #settlements: SettlementOutbox;
+  readonly #recorder: TurnRecorder;
 
   constructor(options: TurnClientOptions) {
     this.#options = options;
@@ -40,6 +38,13 @@
     this.#stores = new StoreQueries(options);
     this.#reservations = new ReservationClient({ stores: this.#stores, clock, logger, metrics });
     this.#settlements = new SettlementOutbox(options);
+    this.#recorder = new TurnRecorder({
+      stores: this.#stores,
+      readChain: (turn, program, deadline) => this.chain(turn, program, deadline),
+      clock,
+      logger,
+      metrics,
+    });
   }
 
   stop(): void {
@@ -60,26 +65,16 @@
   }
 
   /**
-   * Resolves once a completed turn is durable at a quorum of complete stores. Writes to the
-   * program's preferred replicas first, and to the other stores if one of those is late, fails or is
-   * incomplete.
-   *
-   * A new view removes one store and adds one, so a quorum that counts the added store could be
-   * disjoint from one of the former view. A store is complete only after it has pulled from a quorum
-   * of places whose stores serve the new view, so that no quorum of the former one is left.
+   * Resolves once a completed turn and all turns that it continues are durable at each store of a
+   * quorum. `ancestors` are the turns that it continues, oldest first; if not given, they are read
+   * when a store lacks one of them.
    */
-  async record(record: TurnRecord, deadline: number): Promise<void> {
-    const stores = this.#stores;
-    await stores.queryQuorum<RecordAnswer>({
-      deadline,
-      isCounted: ({ complete }) => complete !== false,
-      hedge: (view) => ({
-        order: stores.responsiveFirst(stores.rank(view, record.program)),
-        initialCount: view.quorum,
-        hedgeDelayMilliseconds: HEDGE_DELAY_MILLISECONDS,
-      }),
-      query: ({ epoch }, member) => stores.call(member, 'turns.record', { epoch, record }),
-    });
+  async record(
+    record: TurnRecord,
+    deadline: number,
+    ancestors?: readonly TurnRecord[],
+  ): Promise<void> {
+    await this.#recorder.record({ record, deadline, ancestors });
     this.#options.cache.add(record);
   }
 
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -41,10 +41,22 @@
   readonly record: TurnRecord;
 }
 
+/** Adds turns that a recorded turn continues, directly or indirectly. */
+export interface ExtendRequest extends ViewRequest {
+  /** Id of the recorded turn. */
+  readonly turn: string;
+  readonly ancestors: readonly TurnRecord[];
+}
+
 export interface RecordAnswer {
   readonly kind: 'kept';
   /** Whether the store has completed its backfill; absent on stores of a former build. */
   readonly complete?: boolean;
+  /**
+   * Id of the nearest turn of the chain that the store does not hold; absent if it holds the whole
+   * chain, and on stores of a former build.
+   */
+  readonly missing?: string | undefined;
 }
 
 export interface ChainRequest extends ViewRequest {
@@ -54,7 +66,9 @@
 export interface ChainAnswer {
   readonly kind: 'chain';
   readonly complete: boolean;
+  /** The latest turns of the chain, oldest first; a long chain takes several calls. */
   readonly records: readonly TurnRecord[];
+  /** Id of the turn that the oldest record continues, if any; not necessarily held by the store. */
   readonly missing: string | undefined;
 }
 
@@ -97,6 +111,10 @@
       readonly request: RecordRequest;
       readonly answer: RecordAnswer | ViewMismatch;
     };
+    readonly 'turns.extend': {
+      readonly request: ExtendRequest;
+      readonly answer: RecordAnswer | ViewMismatch;
+    };
     readonly 'turns.chain': {
       readonly request: ChainRequest;
       readonly answer: ChainAnswer | ViewMismatch;
--- a/src/turns/pull-sessions.ts
+++ b/src/turns/pull-sessions.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../core';
 import type { PullRequest } from './contract';
-import type { TurnRow } from './records';
+import { type TurnRow, estimateTurnBytes } from './records';
 import type { TurnTable } from './table';
 
 /** Size after which a page is closed, so that it does not delay other answers. */
@@ -70,10 +70,10 @@
   }
 }
 
-/** Estimated size of a row besides the input and output of its turn; bytes. */
-const ROW_OVERHEAD_BYTES = 200;
+/** Estimated size of a reservation, and of a budget besides its reservations; bytes. */
+const RESERVATION_BYTES = 200;
 
 function sizeOf(row: TurnRow | undefined): number {
-  if (row?.kind !== 'turn') return ROW_OVERHEAD_BYTES * (1 + (row?.reservations.length ?? 0));
-  return ROW_OVERHEAD_BYTES + row.record.input.length + row.record.output.length;
+  if (row?.kind === 'turn') return estimateTurnBytes(row.record);
+  return RESERVATION_BYTES * (1 + (row?.reservations.length ?? 0));
 }
--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -19,6 +19,18 @@
   readonly target: string;
 }
 
+/** A turn and its ancestors, oldest first. */
+export type ChainLookup =
+  { readonly kind: 'found'; readonly records: readonly TurnRecord[] } | { readonly kind: 'absent' };
+
+/** Estimated size of a turn besides its input and output; bytes. */
+const TURN_OVERHEAD_BYTES = 200;
+
+/** Estimated size of a turn in a message; bytes. */
+export function estimateTurnBytes({ input, output }: TurnRecord): number {
+  return TURN_OVERHEAD_BYTES + input.length + output.length;
+}
+
 /** A turn's share of its program's budget. */
 export interface Reservation {
   readonly turn: string;
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -11,6 +11,7 @@
 import type {
   ChainAnswer,
   ChainRequest,
+  ExtendRequest,
   PullAnswer,
   PullRequest,
   RecordAnswer,
@@ -24,9 +25,13 @@
 import type { Backfill } from './backfill';
 import type { TurnJournal } from './journal';
 import { PullSessions } from './pull-sessions';
+import type { TurnRecord } from './records';
 
 const EXPIRY_INTERVAL_MILLISECONDS = 10_000;
 
+/** Size after which the answer to a read of a chain ends. */
+const CHAIN_ANSWER_LIMIT_BYTES = 1024 * 1024;
+
 const NO_ROWS = { rows: [], final: false, interrupted: false } as const;
 
 export interface TurnStoreOptions {
@@ -81,6 +86,7 @@
       'turns.reservations': ({ epoch, program }) =>
         this.#inCurrentView(epoch, () => this.#reservations(program)),
       'turns.record': (request) => this.#record(request),
+      'turns.extend': (request) => this.#extend(request),
       'turns.chain': (request) => this.#chain(request),
       'turns.pull': (request) => this.#pull(request),
     };
@@ -164,10 +170,21 @@
   }
 
   #record({ epoch, record }: RecordRequest): Promise<RecordAnswer | ViewMismatch> {
-    return this.#inCurrentView(epoch, async () => {
-      await this.#options.journal.add([{ kind: 'turn', record }]);
-      return { kind: 'kept', complete: this.#isComplete } as const;
-    });
+    return this.#inCurrentView(epoch, () => this.#keep(record.id, [record]));
+  }
+
+  #extend({ epoch, turn, ancestors }: ExtendRequest): Promise<RecordAnswer | ViewMismatch> {
+    return this.#inCurrentView(epoch, () => this.#keep(turn, ancestors));
+  }
+
+  /** Resolves once the records are durable, with what is still missing of the chain of `turn`. */
+  async #keep(turn: string, records: readonly TurnRecord[]): Promise<RecordAnswer> {
+    const { journal } = this.#options;
+    const written = journal.add(records.map((record) => ({ kind: 'turn', record })));
+    // Turns that are added to the table from here on may become durable later than `records`.
+    const missing = journal.table.missingAncestor(turn);
+    await written;
+    return { kind: 'kept', complete: this.#isComplete, missing };
   }
 
   #settle({ program, turn, tokens }: SettleNotice): void {
@@ -182,7 +199,8 @@
 
   #chain({ epoch, turn }: ChainRequest): Promise<ChainAnswer | ViewMismatch> {
     return this.#inCurrentView(epoch, () => {
-      const { records, missing } = this.#options.journal.table.chain(turn);
+      const { table } = this.#options.journal;
+      const { records, missing } = table.chain(turn, CHAIN_ANSWER_LIMIT_BYTES);
       return { kind: 'chain', complete: this.#isComplete, records, missing } as const;
     });
   }
--- a/src/turns/table.ts
+++ b/src/turns/table.ts
@@ -1,4 +1,10 @@
-import { type Reservation, type TurnRecord, type TurnRow, mergeReservations } from './records';
+import {
+  type Reservation,
+  type TurnRecord,
+  type TurnRow,
+  estimateTurnBytes,
+  mergeReservations,
+} from './records';
 
 /** Time beyond the retention for which rows are kept, for clock skew and continuing programs. */
 const RETENTION_MARGIN_MILLISECONDS = 60_000;
@@ -12,11 +18,11 @@
   retentionSeconds: number;
 }
 
-/** The part of a chain that one store holds. */
+/** The latest turns of a chain, as one store holds them. */
 export interface StoredChain {
   /** Oldest first; empty if the requested turn is absent. */
   readonly records: readonly TurnRecord[];
-  /** Id of the absent turn that the oldest record continues, or that was requested. */
+  /** Id of the turn that the oldest record continues, or of the requested one if that is absent. */
   readonly missing: string | undefined;
 }
 
@@ -52,16 +58,25 @@
     return [...(this.#budgets.get(program)?.reservations.values() ?? [])];
   }
 
-  /** The chain that ends with the given turn. */
-  chain(turn: string): StoredChain {
+  /** The chain that ends with the given turn, or its latest turns of `limitBytes` in all. */
+  chain(turn: string, limitBytes = Infinity): StoredChain {
     const records: TurnRecord[] = [];
-    for (let id: string | undefined = turn; id !== undefined;) {
-      const record = this.#turns.get(id);
-      if (record === undefined) return { records: records.reverse(), missing: id };
+    let bytes = 0;
+    let missing: string | undefined = turn;
+    for (const record of this.#ancestry(turn)) {
+      if (bytes >= limitBytes) break;
+      bytes += estimateTurnBytes(record);
       records.push(record);
-      id = record.previous;
+      missing = record.previous;
     }
-    return { records: records.reverse(), missing: undefined };
+    return { records: records.reverse(), missing };
+  }
+
+  /** Id of the first turn that is absent on the way from a turn to the start of its chain. */
+  missingAncestor(turn: string): string | undefined {
+    let missing: string | undefined = turn;
+    for (const { previous } of this.#ancestry(turn)) missing = previous;
+    return missing;
   }
 
   /** Iterates without a copy: changes during the iteration may be included. */
@@ -117,6 +132,19 @@
     return programs;
   }
 
+  /**
+   * A turn and the turns that it continues, newest first, up to the first absent one. Ends also if
+   * the chain is a cycle, as callers that use an id twice may cause.
+   */
+  *#ancestry(turn: string): Generator<TurnRecord> {
+    let remaining = this.#turns.size;
+    let record = this.#turns.get(turn);
+    for (; record !== undefined && remaining > 0; remaining -= 1) {
+      yield record;
+      record = this.#turns.get(record.previous ?? '');
+    }
+  }
+
   #addTurn(record: TurnRecord): boolean {
     const { id, program, tokens, endedAt, retentionSeconds } = record;
     this.#applyReservation(program, { turn: id, tokens, settled: true }, endedAt);
