Stores drop nothing while their backfill is under way

What callers would see: a turn that was acknowledged is not found after a member of the view was replaced or lost its disk.

Cause: a backfill copies rows in the order in which its sources stored them, the first turns of a chain before those that continue them, and from one source after another. The expiry of the filling store ran meanwhile and dropped a first turn past its retention whose successor had not arrived. The pull of the next source excludes turns that the store held when it began, so nothing brought it back, and the store counted as complete without it.

Change: a member that is not complete yet expires nothing.

Evidence: the test lets the expiry run while the page of the last source is on its way; without the change the store is complete with t2 but without t1, which t2 continues.

--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -231,8 +231,10 @@
     return this.#createdAt.timeOfDay + this.#options.clock.monotonic() - this.#createdAt.monotonic;
   }
 
+  /** Spares the rows of a backfill under way, which brings turns before those that continue them. */
   #expire(): void {
     const { journal, clock, logger, metrics } = this.#options;
+    if (this.#view !== undefined && this.#isMember(this.#view) && !this.#isComplete) return;
     const dropped = journal.table.expire(Math.min(clock.now(), this.#steadyTimeOfDay));
     metrics.count('turns_expired_total', dropped);
     if (dropped > 0) {
--- a/src/turns/tests/backfill.test.ts
+++ b/src/turns/tests/backfill.test.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from '../../core';
+import { rankReplicas } from '../replica-ranking';
 import { StoreGroup, createRecord } from './store-group';
 
 const FIRST_MEMBERS = ['s1', 's2', 's3', 's4', 's5'];
@@ -49,6 +50,41 @@
     });
   });
 
+  describe('while expired turns are dropped', () => {
+    // The first turn is past its retention, but not the one that continues it.
+    const EXPIRED_MILLISECONDS = 125_000;
+    const EXPIRY_INTERVAL_MILLISECONDS = 10_000;
+
+    it('keeps a turn until those that continue it have arrived', async () => {
+      const group = new StoreGroup();
+      for (const name of [...FIRST_MEMBERS, 's6']) await group.start(name);
+      const first = group.viewOf(1, FIRST_MEMBERS);
+      await group.offer(first, FIRST_MEMBERS);
+      const client = group.client('g', first);
+      const record = (id: string, previous?: string) => {
+        const endedAt = group.clock.now();
+        const turn = createRecord(id, { previous, endedAt });
+        return group.outcomeOf(client.record(turn, group.clock.monotonic() + 1000));
+      };
+      const next = group.viewOf(2, NEXT_MEMBERS, { s6: 2 });
+      const sources = rankReplicas(next, 's6').filter(({ name }) => name !== 's6');
+      const [firstSource = '', secondSource = '', lastSource = ''] = sources.map(
+        ({ name }) => name,
+      );
+      await record('t1');
+      group.clock.advance(EXPIRED_MILLISECONDS / 2);
+      group.cut('g', [firstSource, secondSource]);
+      await record('t2', 't1');
+      group.clock.advance(EXPIRED_MILLISECONDS / 2);
+      group.intercept(lastSource, 'turns.pull', () => {
+        group.clock.advance(EXPIRY_INTERVAL_MILLISECONDS);
+      });
+      await group.offer(next, NEXT_MEMBERS);
+      expect(group.store('s6').journal.completeFor).toBe(2);
+      expect(heldBy(group, 's6')).toEqual(['t1', 't2']);
+    });
+  });
+
   describe('with one member less than a quorum in reach', () => {
     it('does not end', async () => {
       const group = await joinStore(['s3', 's4']);
--- a/src/turns/tests/store-group.ts
+++ b/src/turns/tests/store-group.ts
@@ -93,6 +93,18 @@
     this.#unreachable.set(from, new Set(names));
   }
 
+  /** Calls `action` before each answer of a store to a call is sent. */
+  intercept(name: string, method: keyof TurnContract['calls'], action: () => void): void {
+    const store = this.store(name);
+    const serve = store.calls[method];
+    const intercepted = async (request: unknown) => {
+      const answer = await serve?.(request);
+      action();
+      return answer;
+    };
+    this.#stores.set(name, { ...store, calls: { ...store.calls, [method]: intercepted } });
+  }
+
   client(name: string, view: StoreView | undefined): TurnClient {
     const latest = new LatestValue<StoreView>(({ epoch }) => epoch);
     if (view !== undefined) latest.offer(view);
