Answers without end are broken off

What callers would see: a server that sends a line, an event or events without end in answer to a turn ends the gateway (heap out of memory), and with it all calls that the gateway serves.

Cause: the collector of a turn's events keeps all that arrives, and its parser a line of any length. Only buffered answers had a bound.

Change: the recorder that already follows an answer's framing checks it against limits: 64 KiB for an event with the comments before it, 8 MiB for the body, and as many events as the tokens that the caller asked for, divided by the tokens of an event of that engine, and four without tokens. Beyond them the connection is closed at once, the caller's response is broken off (502 if none had begun), the turn is not kept, its reservation stays at the maximum, the log line says `exceeded` and target_responses_over_limit_total counts.

Bounded before: heads of answers (HTTP client), the peers' frames, connections that a target's prober opens (it reads nothing).

The stand-in of ended-turns' rejected call had only text(); it is a stream now, as the body of the HTTP client is. Its checks are unchanged.

--- a/src/control/host-list-reader.ts
+++ b/src/control/host-list-reader.ts
@@ -10,6 +10,7 @@
   messageOf,
   startTimeout,
 } from '../core';
+import { readBody } from '../http';
 
 /** The platform's response to `GET /`. */
 const hostListSchema = z.object({
@@ -18,6 +19,8 @@
 
 const READ_TIMEOUT_MILLISECONDS = 1000;
 
+const LIST_LIMIT_BYTES = 8 * 1024 * 1024;
+
 export interface HostListReaderOptions {
   readonly address: Address;
   readonly intervalMilliseconds: number;
@@ -57,7 +60,9 @@
     try {
       const url = `http://${formatAddress(address)}/`;
       const response = await request(url, { signal: controller.signal });
-      const { hosts } = hostListSchema.parse(await response.body.json());
+      const body = await readBody(response.body, LIST_LIMIT_BYTES);
+      if (body === undefined) throw new Error(`a list of more than ${LIST_LIMIT_BYTES} bytes`);
+      const { hosts } = hostListSchema.parse(JSON.parse(body.toString()));
       const hostsInState = (state: string) =>
         hosts.filter((entry) => entry.state === state).map((entry) => entry.host);
       await onHosts(hostsInState('leaving'), hostsInState('live'));
--- a/src/entry/engine-turn.ts
+++ b/src/entry/engine-turn.ts
@@ -1,6 +1,7 @@
 import { createParser } from 'eventsource-parser';
 import type { Configuration, Service } from '../configuration';
 import { messageOf } from '../core';
+import { ResponseRecorder, readBeginning } from '../http';
 import { HEADERS, parseLoad } from '../protocol';
 import type { Message, RunStep, TurnAnswer } from '../state';
 import { AnswerBuilder } from './chat-answer';
@@ -49,6 +50,15 @@
 
 const MAX_ATTEMPTS = 3;
 
+/** Part of an error's body that is reported. */
+const ERROR_TEXT_BYTES = 1000;
+
+/** Length of an engine's answer as a stream of events. */
+const ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
+
+/** Length of one event, which may hold the arguments of a whole tool call. */
+const EVENT_LIMIT_BYTES = 1024 * 1024;
+
 /** The engine rejected the request as invalid; other engines would reject it too. */
 class EngineRejection extends Error {
   readonly status: number;
@@ -166,7 +176,7 @@
 
 async function readResponse(turn: EngineTurn, response: TargetResponse): Promise<TurnAnswer> {
   if (response.status !== 200) {
-    const text = (await response.body.text()).slice(0, 1000);
+    const text = await readBeginning(response.body, ERROR_TEXT_BYTES);
     if (isNonRetryableStatus(response.status)) throw new EngineRejection(response.status, text);
     throw new CallError(`the engine answered ${response.status}: ${text}`, false);
   }
@@ -176,8 +186,17 @@
       processEvent(turn, builder, event.data);
     },
   });
+  const recorder = new ResponseRecorder({
+    headers: response.headers,
+    expectsEventStream: true,
+    limits: { bodyBytes: ANSWER_LIMIT_BYTES, eventBytes: EVENT_LIMIT_BYTES },
+  });
   const decoder = new TextDecoder();
-  for await (const bytes of response.body as AsyncIterable<Buffer>) {
+  for await (const bytes of response.body) {
+    recorder.push(bytes);
+    if (recorder.excess !== undefined) {
+      throw new CallError(`the engine sent ${recorder.excess}`, false);
+    }
     parser.feed(decoder.decode(bytes, { stream: true }));
   }
   const answer = builder.build();
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Service, Team } from '../configuration';
 import { messageOf } from '../core';
+import { readBody } from '../http';
 import { HEADERS, parseLoad } from '../protocol';
 import type { CallAnswer } from '../state';
 import type { EntryContext } from './context';
@@ -67,8 +68,8 @@
 }
 
 async function readCompleteResponse(response: TargetResponse): Promise<CallAnswer> {
-  const body = Buffer.from(await response.body.arrayBuffer());
-  if (body.length > RESPONSE_LIMIT_BYTES) {
+  const body = await readBody(response.body, RESPONSE_LIMIT_BYTES);
+  if (body === undefined) {
     throw new CallError(`the answer is larger than ${RESPONSE_LIMIT_BYTES} bytes`, false);
   }
   const contentType = response.headers['content-type'] ?? 'application/octet-stream';
--- a/src/entry/sidecar-client.ts
+++ b/src/entry/sidecar-client.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod';
 import type { Target } from '../configuration';
 import { type Component, MartenbayError, formatAddress, messageOf } from '../core';
+import { readBeginning, readBody } from '../http';
 import { ATTEMPT_PREFIX, CALL_PREFIX, HEADERS } from '../protocol';
 import { type Claim, answerSchema } from '../state';
 
@@ -34,7 +35,7 @@
 export interface TargetResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
-  readonly body: Dispatcher.ResponseData['body'];
+  readonly body: AsyncIterable<Buffer>;
 }
 
 /** State of an attempt, as reported by the target's sidecar. */
@@ -56,6 +57,12 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
+/** Part of a refusal's body that is reported. */
+const ERROR_TEXT_BYTES = 500;
+
+/** An answer of 1 MiB in base64, and what is said about it. */
+const ATTEMPT_STATE_LIMIT_BYTES = 2 * 1024 * 1024;
+
 export class SidecarClient implements Component {
   readonly #credential: string;
   readonly #agent = new Agent({
@@ -83,8 +90,8 @@
     if (outcome === undefined) {
       return { status: response.statusCode, headers: response.headers, body: response.body };
     }
-    const text = await response.body.text();
-    throw new CallError(`${target.name} refused: ${text.slice(0, 500)}`, outcome === 'not-run');
+    const text = await readBeginning(response.body, ERROR_TEXT_BYTES);
+    throw new CallError(`${target.name} refused: ${text}`, outcome === 'not-run');
   }
 
   /** Revokes an attempt that the sidecar has not admitted; resolves with its resulting state. */
@@ -101,7 +108,14 @@
       headers: { [HEADERS.credential]: this.#credential, [HEADERS.claim]: claim.incarnation },
       signal,
     });
-    return attemptStateSchema.parse(await response.body.json());
+    const body = await readBody(response.body, ATTEMPT_STATE_LIMIT_BYTES);
+    if (body === undefined) {
+      throw new CallError(
+        `the state of an attempt exceeds ${ATTEMPT_STATE_LIMIT_BYTES} bytes`,
+        false,
+      );
+    }
+    return attemptStateSchema.parse(JSON.parse(body.toString()));
   }
 
   async #request(target: Target, call: TargetCall): Promise<Dispatcher.ResponseData> {
--- a/src/entry/tests/ended-turns.test.ts
+++ b/src/entry/tests/ended-turns.test.ts
@@ -35,8 +35,13 @@
 const REJECTION = {
   status: 400,
   headers: {},
-  body: { text: () => Promise.resolve('invalid') },
-} as unknown as TargetResponse;
+  body: {
+    async *[Symbol.asyncIterator]() {
+      await Promise.resolve();
+      yield Buffer.from('invalid');
+    },
+  },
+} as TargetResponse;
 
 interface Abandoned {
   readonly spent: boolean;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,7 +2,12 @@
 import type { Dispatcher } from 'undici';
 import { type Clock, messageOf } from '../core';
 import { MISDIRECTED_REQUEST_STATUS, type AttemptSummary } from '../decisions';
-import { type ResponseRecord, ResponseRecorder, findIncompleteness } from '../http';
+import {
+  type ResponseLimits,
+  type ResponseRecord,
+  ResponseRecorder,
+  findIncompleteness,
+} from '../http';
 import type { TargetConnection } from '../targets';
 import { withoutConnectionHeaders } from './headers';
 import type { ResponseHead, WireFormat } from './wire-format';
@@ -38,10 +43,10 @@
   readonly body: Buffer | null;
   /** Receives a successful response; the response is buffered if undefined. */
   readonly receiver?: ResponseReceiver | undefined;
+  /** Beyond these the response is broken off. */
+  readonly limits?: Partial<ResponseLimits> | undefined;
 }
 
-const BUFFERED_RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024;
-
 const SUCCESS_STATUS = { from: 200, to: 299 };
 
 /** One request to one target over one connection. */
@@ -57,7 +62,6 @@
   #head: ResponseHead | undefined;
   #recorder: ResponseRecorder | undefined;
   #record: ResponseRecord | undefined;
-  #bufferedBytes = 0;
   #hasBegun = false;
 
   constructor(options: AttemptOptions) {
@@ -106,10 +110,10 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < SUCCESS_STATUS.from) return;
-    const { wire, requestId, receiver } = this.#options;
+    const { wire, requestId, receiver, limits } = this.#options;
     this.#status = status;
     const isStreamed = receiver !== undefined && isSuccess(status);
-    this.#recorder = new ResponseRecorder({ headers, expectsEventStream: isStreamed });
+    this.#recorder = new ResponseRecorder({ headers, expectsEventStream: isStreamed, limits });
     this.#head = wire.readResponse(headers);
     const raw = controller.rawHeaders;
     // Chunks delimit a streamed response, so that it can still be broken off after its last byte.
@@ -122,9 +126,14 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#settled) return;
     this.#recorder?.push(chunk);
+    const excess = this.#recorder?.excess;
+    if (excess !== undefined) {
+      this.#settle({ kind: 'unknown', reason: excess, began: this.#hasBegun });
+      return;
+    }
     const { receiver } = this.#options;
     if (receiver === undefined || !isSuccess(this.#status)) {
-      this.#buffer(chunk);
+      this.#chunks.push(chunk);
       return;
     }
     if (!this.#hasBegun) receiver.begin(this.#status, this.#headers);
@@ -160,14 +169,6 @@
     else this.#settle({ kind: 'unknown', reason, began: this.#hasBegun });
   }
 
-  #buffer(chunk: Buffer): void {
-    this.#bufferedBytes += chunk.length;
-    this.#chunks.push(chunk);
-    if (this.#bufferedBytes <= BUFFERED_RESPONSE_LIMIT_BYTES) return;
-    const reason = `an answer of more than ${BUFFERED_RESPONSE_LIMIT_BYTES} bytes`;
-    this.#settle({ kind: 'unknown', reason, began: false });
-  }
-
   #settle(outcome: AttemptOutcome, isComplete = false): void {
     if (this.#settled) return;
     this.#settled = true;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,6 +1,6 @@
 import type { Clock, Metrics } from '../core';
 import { type DecisionSwitches, type HealthEvent, MISDIRECTED_REQUEST_STATUS } from '../decisions';
-import type { ResponseRecord } from '../http';
+import type { ResponseLimits, ResponseRecord } from '../http';
 import type { DurationAverages, Placement, TargetConnectionPool, TargetState } from '../targets';
 import { type ResponseReceiver, Attempt, type AttemptOutcome } from './attempt';
 import type { RequestCrashes } from '../crashes';
@@ -27,6 +27,8 @@
   readonly body: Buffer | null;
   readonly priority?: number | undefined;
   readonly receiver?: ResponseReceiver | undefined;
+  /** Limits of the response of a target that is chosen. */
+  readonly responseLimits?: (placement: Placement) => Partial<ResponseLimits>;
   /** Receives what the attempt says about the end of its target. */
   readonly crashes?: RequestCrashes | undefined;
   /** Called when an attempt starts, so that the caller of `send` can resume a paused response. */
@@ -60,6 +62,9 @@
     }
     metrics.count(`attempts_total{outcome="${outcome.kind}"}`);
     if (response !== undefined) metrics.count(countedResponse(response));
+    if (response?.exceeded !== undefined) {
+      metrics.count(`target_responses_over_limit_total{limit="${response.exceeded}"}`);
+    }
     exchange.recordDecision(describeAttempt(placement, outcome, response));
     const event = this.#healthEvent(outcome, exchange);
     if (event !== undefined) placement.state.recordOutcome(event);
@@ -120,7 +125,8 @@
     }
   }
 
-  #createAttempt({ state }: Placement, request: SendRequest): Attempt {
+  #createAttempt(placement: Placement, request: SendRequest): Attempt {
+    const { state } = placement;
     const { wire, clock, connections } = this.#options;
     const { exchange, body, receiver, priority } = request;
     const { rawHeaders, method = 'GET', url = '/' } = exchange.request;
@@ -140,6 +146,7 @@
       }),
       body,
       receiver,
+      limits: request.responseLimits?.(placement),
     });
   }
 
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -1,3 +1,4 @@
+import type { ResponseLimits } from '../http';
 import { type Clock, MartenbayError, type Metrics, bothSettled } from '../core';
 import type { Refusal } from '../decisions';
 import type { EngineSettings, Route, RouteTable } from '../routes';
@@ -122,6 +123,8 @@
       body: buildBody(chain, turn.input),
       input: turn.input,
       placement: placementAfter(exchange, chain),
+      responseLimits: (placement: Placement) =>
+        limitsOfTurn(exchange.head.maxTokens, engineOf(table, placement)),
       onAttempt: (started: Attempt, placement: Placement) => {
         holds.markAttempted();
         attempt = started;
@@ -238,6 +241,23 @@
   return parts.length === 0 ? input : Buffer.concat([...parts, input]);
 }
 
+/** A token takes a few bytes in an event, and some hundred with the engine's remarks about it. */
+const EVENT_LIMIT_BYTES = 64 * 1024;
+
+/** Events besides those with tokens, such as one that ends the stream. */
+const EVENTS_WITHOUT_TOKENS = 4;
+
+/** Bounds the answer by the tokens that the caller asked for, if it has told them. */
+function limitsOfTurn(
+  maxTokens: number,
+  engine: EngineSettings | undefined,
+): Partial<ResponseLimits> {
+  const eventBytes = EVENT_LIMIT_BYTES;
+  if (maxTokens <= 0 || engine === undefined) return { eventBytes };
+  const events = Math.ceil(maxTokens / engine.tokensPerEvent) + EVENTS_WITHOUT_TOKENS;
+  return { eventBytes, events };
+}
+
 /** The engine of the last turn has the whole conversation in its cache. */
 function placementAfter(exchange: Exchange, chain: Chain): PlacementRequest {
   const last = chain.at(-1);
--- a/src/http/event-boundary.ts
+++ b/src/http/event-boundary.ts
@@ -9,6 +9,9 @@
  */
 export class EventBoundary {
   #events = 0;
+  /** Length of the present event and of the comments before it, as far as they have arrived. */
+  #presentBytes = 0;
+  #longestBytes = 0;
   #isLineEmpty = true;
   #isComment = false;
   #hasFields = false;
@@ -21,7 +24,7 @@
     let position = this.#skipLineFeed(chunk, 0);
     while (position < chunk.length) {
       const end = findLineEnd(chunk, position, hasCarriageReturn);
-      if (end !== position) this.#extendLine(chunk[position]);
+      if (end !== position) this.#extendLine(chunk[position], end - position);
       if (end === chunk.length) return;
       this.#endLine();
       this.#endsWithCarriageReturn = chunk[end] === CARRIAGE_RETURN;
@@ -34,6 +37,11 @@
     return this.#events;
   }
 
+  /** Length of the longest event, which may not have ended, with the comments before it. */
+  get longestEventBytes(): number {
+    return this.#longestBytes;
+  }
+
   /** Whether the stream has begun an event, or a line, that has not ended. */
   get isInsideEvent(): boolean {
     const isLineEndPartial = this.#endsWithCarriageReturn && this.#usesLineFeedPairs;
@@ -49,9 +57,11 @@
     return position + 1;
   }
 
-  #extendLine(firstByte: number | undefined): void {
+  #extendLine(firstByte: number | undefined, length: number): void {
     if (this.#isLineEmpty) this.#isComment = firstByte === COLON;
     this.#isLineEmpty = false;
+    this.#presentBytes += length;
+    this.#longestBytes = Math.max(this.#longestBytes, this.#presentBytes);
   }
 
   #endLine(): void {
@@ -59,6 +69,7 @@
       if (!this.#isComment) this.#hasFields = true;
     } else if (this.#hasFields) {
       this.#events += 1;
+      this.#presentBytes = 0;
       this.#hasFields = false;
     }
     this.#isLineEmpty = true;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -5,7 +5,9 @@
 export { EventBoundary } from './event-boundary';
 export { type HttpCall, HttpClient, type HttpResponse } from './http-client';
 export { IdleConnections } from './idle-connections';
+export { readBeginning, readBody } from './read-body';
 export { type ResponseFraming, framingOf, isEventStream } from './response-framing';
+export type { ResponseLimit, ResponseLimits } from './response-limits';
 export {
   type EventStreamRecord,
   type ResponseRecord,
--- a/src/http/response-recorder.ts
+++ b/src/http/response-recorder.ts
@@ -2,6 +2,13 @@
 import type { ConnectionEnding } from './connection-ending';
 import { EventBoundary } from './event-boundary';
 import { type ResponseFraming, framingOf, isEventStream } from './response-framing';
+import {
+  type ResponseLimit,
+  type ResponseLimits,
+  describeExceededLimit,
+  findExceededLimit,
+  resolveResponseLimits,
+} from './response-limits';
 
 /** How a response arrived, from which its completeness is decided. */
 export interface ResponseRecord {
@@ -11,6 +18,8 @@
   readonly bytes: number;
   /** Undefined unless the body is a stream of events. */
   readonly eventStream: EventStreamRecord | undefined;
+  /** The limit that the response exceeds; undefined if it exceeds none. */
+  readonly exceeded: ResponseLimit | undefined;
 }
 
 export interface EventStreamRecord {
@@ -24,15 +33,19 @@
   readonly headers: IncomingHttpHeaders;
   /** Whether a response without a content type is a stream of events. */
   readonly expectsEventStream?: boolean;
+  readonly limits?: Partial<ResponseLimits> | undefined;
 }
 
 /** Records how a response arrives; does not keep its body. */
 export class ResponseRecorder {
   readonly #framing: ResponseFraming;
   readonly #boundary: EventBoundary | undefined;
+  readonly #limits: ResponseLimits;
   #bytes = 0;
+  #exceeded: ResponseLimit | undefined;
 
-  constructor({ headers, expectsEventStream = false }: ResponseRecorderOptions) {
+  constructor({ headers, expectsEventStream = false, limits }: ResponseRecorderOptions) {
+    this.#limits = resolveResponseLimits(limits);
     this.#framing = framingOf(headers);
     const isUntypedStream = expectsEventStream && headers['content-type'] === undefined;
     this.#boundary = isUntypedStream || isEventStream(headers) ? new EventBoundary() : undefined;
@@ -40,7 +53,19 @@
 
   push(chunk: Buffer): void {
     this.#bytes += chunk.length;
-    this.#boundary?.push(chunk);
+    const boundary = this.#boundary;
+    boundary?.push(chunk);
+    const progress = {
+      bodyBytes: this.#bytes,
+      events: boundary?.events ?? 0,
+      eventBytes: boundary?.longestEventBytes ?? 0,
+    };
+    this.#exceeded ??= findExceededLimit(progress, this.#limits);
+  }
+
+  /** Why the response must be broken off; undefined while it is within its limits. */
+  get excess(): string | undefined {
+    return this.#exceeded && describeExceededLimit(this.#exceeded, this.#limits);
   }
 
   record(ending: ConnectionEnding): ResponseRecord {
@@ -49,6 +74,7 @@
       boundary === undefined
         ? undefined
         : { events: boundary.events, endsInsideEvent: boundary.isInsideEvent };
-    return { framing: this.#framing, ending, bytes: this.#bytes, eventStream };
+    const exceeded = this.#exceeded;
+    return { framing: this.#framing, ending, bytes: this.#bytes, eventStream, exceeded };
   }
 }
--- a/src/sidecar/target-client.ts
+++ b/src/sidecar/target-client.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import { type Address, type Clock, MartenbayError, messageOf, startTimeout } from '../core';
-import { HttpClient, type HttpResponse } from '../http';
+import { HttpClient, type HttpResponse, readBody } from '../http';
 
 /** The target did not respond to a call, or its response can't be retained. */
 export class TargetError extends MartenbayError {
@@ -69,8 +69,11 @@
         freshConnection: false,
         signal: controller.signal,
       });
-      const text = (await readBody(response.body, MAX_JSON_BYTES))?.toString() ?? '';
-      return response.status === 200 ? (JSON.parse(text) as unknown) : undefined;
+      const text = await readBody(response.body, MAX_JSON_BYTES);
+      if (text === undefined) {
+        throw new TargetError(`the target sent more than ${MAX_JSON_BYTES} bytes`, false);
+      }
+      return response.status === 200 ? (JSON.parse(text.toString()) as unknown) : undefined;
     } finally {
       cancel();
     }
@@ -83,17 +86,3 @@
 
 const JSON_TIMEOUT_MILLISECONDS = 2000;
 const MAX_JSON_BYTES = 1024 * 1024;
-
-/**
- * Reads a body to its end. Resolves with `undefined` if it is larger than `limitBytes`; the excess
- * is read and discarded.
- */
-export async function readBody(stream: Readable, limitBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of stream as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size <= limitBytes) chunks.push(chunk);
-  }
-  return size <= limitBytes ? Buffer.concat(chunks) : undefined;
-}
--- a/src/sidecar/target-proxy.ts
+++ b/src/sidecar/target-proxy.ts
@@ -6,6 +6,7 @@
   breakOff,
   forwardBody,
   isEventStream,
+  readBody,
 } from '../http';
 import {
   ATTEMPT_PREFIX,
@@ -17,7 +18,7 @@
 } from '../protocol';
 import type { CallAnswer } from '../state';
 import { type AttemptState, AttemptTable } from './attempts';
-import { type TargetClient, TargetError, readBody } from './target-client';
+import { type TargetClient, TargetError } from './target-client';
 
 export interface TargetProxyOptions {
   readonly client: TargetClient;
--- a/src/sidecar/tests/broken-off-responses.test.ts
+++ b/src/sidecar/tests/broken-off-responses.test.ts
@@ -51,6 +51,23 @@
     }
   };
 
+  // Guards against a response without end that a sidecar reads until its target ends it.
+  describe('that does not end', () => {
+    it('is reported as perhaps run, and its connection is closed', async () => {
+      const sentBytes = new Promise<number>((resolve) => {
+        const endless = 'x'.repeat(64 * 1024);
+        const script = { framing: 'chunked', body: [], endless, ending: 'reset' } as const;
+        target.scripts.push({ ...script, onClosed: resolve });
+      });
+      const headers = { 'martenbay-attempt': 'endless', 'martenbay-claim': INCARNATION };
+      const response = await post('/target/fees', headers);
+      expect(response.statusCode).toBe(502);
+      expect(response.headers['martenbay-outcome']).toBe('unknown');
+      expect(await stateOf('endless')).toBe('unknown');
+      expect(await sentBytes).toBeLessThan(16 * 1024 * 1024);
+    });
+  });
+
   describe('that may not be repeated', () => {
     it('is reported as perhaps run and not kept, if the target broke it off', async () => {
       for (const [index, script] of BROKEN_OFF_RESPONSES.entries()) {
--- a/stand-ins/scripted-response.ts
+++ b/stand-ins/scripted-response.ts
@@ -16,6 +16,10 @@
    * resets it; a chunked body then lacks its last chunk, one with a length its last bytes.
    */
   readonly ending: 'complete' | 'close' | 'reset';
+  /** Written after the body again and again, until the receiver closes the connection. */
+  readonly endless?: string | undefined;
+  /** Called with the bytes written once the connection of an endless response is closed. */
+  readonly onClosed?: ((bytes: number) => void) | undefined;
   /** Delays the ending, so that the receiver reads the body before it. */
   readonly beforeEnding?: Promise<void> | undefined;
 }
@@ -53,10 +57,18 @@
 /** Bytes that are announced by `content-length` and never sent. */
 const MISSING_BYTES = 7;
 
+/** Bytes of an endless response after which its connection is reset, to bound a failed test. */
+const ENDLESS_LIMIT_BYTES = 64 * 1024 * 1024;
+
 /** Writes a response with status 200 to a connection whose request has been read. */
 export async function sendScripted(socket: Socket, script: ScriptedResponse): Promise<void> {
   await write(socket, formatHead(script));
   for (const piece of script.body) await write(socket, formatPiece(script, piece));
+  if (script.endless !== undefined) {
+    await writeEndlessly(socket, formatPiece(script, script.endless));
+    script.onClosed?.(socket.bytesWritten);
+    return;
+  }
   await script.beforeEnding;
   if (script.ending === 'complete' && script.framing === 'chunked')
     await write(socket, '0\r\n\r\n');
@@ -82,6 +94,15 @@
   return `${Buffer.byteLength(piece).toString(16)}\r\n${piece}\r\n`;
 }
 
+async function writeEndlessly(socket: Socket, piece: string): Promise<void> {
+  // A receiver that closes the connection may reset it.
+  socket.on('error', () => undefined);
+  while (!socket.destroyed && socket.bytesWritten < ENDLESS_LIMIT_BYTES) {
+    await new Promise((resolve) => socket.write(piece, resolve));
+  }
+  socket.resetAndDestroy();
+}
+
 function write(socket: Socket, text: string): Promise<void> {
   return new Promise((resolve, reject) => {
     socket.write(text, (error) => {
