Responses whose framing does not end are broken off

What callers would see: a call that is sent to a server which sends a chunk extension, or informational responses, without end gets 504 at its deadline; until then the gateway reads hundreds of megabytes.

Cause: the HTTP client bounds the head of an answer, but reads the rest of its framing without a word to its handler, so no limit on the body applies.

Change: a guard between the pool and the handler compares the bytes that the connection has received with those of the body. Beyond 1 MiB and 16 bytes for each byte of the body (chunks of one byte take six) the answer fails, the connection is closed, target_framing_excesses_total counts, and the log line of the try has the reason.

Not changed: a server that sends a byte of a head now and then is waited for until the deadline; silence from a server is no reason to end an answer earlier.

--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -3,6 +3,7 @@
 import Client from 'undici/lib/dispatcher/client.js';
 import { type Component, type Logger, type Metrics, parseAddress } from '../core';
 import { type ConnectionEnding, ConnectionMonitor } from '../http';
+import { FramingGuard } from './framing-guard';
 import type { TargetState } from './state';
 
 /** A target accepts a connection within about 1 ms. */
@@ -33,8 +34,10 @@
   readonly #logger: Logger;
   readonly #metrics: Metrics;
   readonly #idle = new Map<string, Client[]>();
-  /** Of the latest socket of each client. */
-  readonly #monitors = new WeakMap<Client, ConnectionMonitor>();
+  /** The latest socket of each client. */
+  readonly #sockets = new WeakMap<Client, Socket>();
+  /** The guard of the response that each client receives. */
+  readonly #guards = new WeakMap<Client, (receivedBytes: number) => void>();
 
   constructor(logger: Logger, metrics: Metrics) {
     this.#logger = logger;
@@ -49,9 +52,12 @@
     let isReturned = false;
     return {
       dispatch: (options, handler) => {
-        client.dispatch(options, handler);
+        client.dispatch(options, this.#guard(client, handler));
+      },
+      ending: () => {
+        const socket = this.#sockets.get(client);
+        return socket === undefined ? 'open' : ConnectionMonitor.of(socket).ending;
       },
-      ending: () => this.#monitors.get(client)?.ending ?? 'open',
       release: () => {
         if (isReturned) return;
         isReturned = true;
@@ -90,7 +96,7 @@
     const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: createConnector(address, (socket) => {
-        this.#monitors.set(client, ConnectionMonitor.of(socket));
+        this.#observe(client, socket);
       }),
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -106,6 +112,26 @@
     return client;
   }
 
+  /** Must be called before the HTTP client adds its listeners to the socket. */
+  #observe(client: Client, socket: Socket): void {
+    this.#sockets.set(client, socket);
+    ConnectionMonitor.of(socket);
+    socket.on('readable', () => this.#guards.get(client)?.(socket.bytesRead));
+  }
+
+  #guard(client: Client, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    const onExcess = () => {
+      this.#metrics.count('target_framing_excesses_total');
+    };
+    const guard = new FramingGuard({ handler, onExcess });
+    const socket = this.#sockets.get(client);
+    const startedAtBytes = socket === undefined || socket.destroyed ? 0 : socket.bytesRead;
+    this.#guards.set(client, (receivedBytes) => {
+      guard.check(receivedBytes - startedAtBytes);
+    });
+    return guard;
+  }
+
   #returnToPool(key: string, client: Client): void {
     const idle = this.#idle.get(key) ?? [];
     idle.push(client);
