Budgets keep the reservations that only one store held

What callers would see: a program generates more tokens than its budget, after one store missed its later turns and another one lost its disk.

A store expires a budget by what it holds itself. One that missed the later reservations drops the earlier ones 60 s after their retention; the stores that took the later ones hold the earlier ones only of turns in a recorded chain. The turn of a sub-agent, or one that was broken off, is then held by one store.

Change: a gateway compares the stores' answers to a reservation, which hold all of the program's reservations, and writes to each store those that it lacks. Merging is idempotent and a settled reservation stays settled, so a repair may cross any other write. It is not awaited: it can be lost with the gateway or the store, and the next turn of the program repeats it.

Evidence: budget-retention fails before (12 tokens in place of 16) and passes.

Not covered: a budget is forgotten once a program pauses for its retention and 60 s more, 120 s in all where nothing was recorded.

--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -20,6 +20,8 @@
   readonly most: number;
   /** Whether the reservation is written to all stores; stores of a former build ignore it. */
   readonly spread?: true;
+  /** Other reservations of the program, which the store lacks; a former build ignores them. */
+  readonly others?: readonly Reservation[];
 }
 
 export interface SettleNotice {
--- a/src/turns/reservation-budget.ts
+++ b/src/turns/reservation-budget.ts
@@ -1,3 +1,4 @@
+import type { ViewMember } from '../cluster';
 import type { ReservationsAnswer } from './contract';
 import { type Reservation, mergeReservations } from './records';
 
@@ -69,20 +70,46 @@
   return [...spreadTurns].some((spreadTurn) => !answers.every(isSettledIn(spreadTurn)));
 }
 
+/** A program's reservations at one store. */
+export interface StoredReservations extends ReservationsAnswer {
+  readonly store: ViewMember;
+}
+
+/** Reservations that a store lacks although another store's answer has them. */
+export interface LackingStore {
+  readonly store: ViewMember;
+  readonly lacking: readonly Reservation[];
+}
+
+/** Compares the stores' latest answers; does not report reservations that only differ. */
+export function findLackingStores(answers: readonly StoredReservations[]): readonly LackingStore[] {
+  const latest = new Map(answers.map((answer) => [answer.store.name, answer]));
+  const all = mergeByTurn(answers);
+  return [...latest.values()].flatMap(({ store, reservations }) => {
+    const held = new Set(reservations.map(({ turn }) => turn));
+    const lacking = all.filter(({ turn }) => !held.has(turn));
+    return lacking.length === 0 ? [] : [{ store, lacking }];
+  });
+}
+
 /** Merges the answers by turn. */
-function reservationsOfOtherTurns(
-  answers: readonly ReservationsAnswer[],
-  turn: string,
-): readonly Reservation[] {
-  const others = new Map<string, Reservation>();
+function mergeByTurn(answers: readonly ReservationsAnswer[]): readonly Reservation[] {
+  const merged = new Map<string, Reservation>();
   for (const { reservations } of answers) {
     for (const reservation of reservations) {
-      if (reservation.turn === turn) continue;
-      const existing = others.get(reservation.turn);
-      const merged =
-        existing === undefined ? reservation : mergeReservations(existing, reservation);
-      others.set(reservation.turn, merged);
+      const existing = merged.get(reservation.turn);
+      merged.set(
+        reservation.turn,
+        existing === undefined ? reservation : mergeReservations(existing, reservation),
+      );
     }
   }
-  return [...others.values()];
+  return [...merged.values()];
+}
+
+function reservationsOfOtherTurns(
+  answers: readonly ReservationsAnswer[],
+  turn: string,
+): readonly Reservation[] {
+  return mergeByTurn(answers).filter((reservation) => reservation.turn !== turn);
 }
--- a/src/turns/reservation-client.ts
+++ b/src/turns/reservation-client.ts
@@ -1,11 +1,20 @@
 import type { ViewMember } from '../cluster';
-import { type Clock, RateLimitedLogLine, type Logger, type Metrics, delay } from '../core';
-import type { ReservationsAnswer } from './contract';
+import {
+  type Clock,
+  RateLimitedLogLine,
+  type Logger,
+  type Metrics,
+  delay,
+  messageOf,
+} from '../core';
+import type { ReservationsAnswer, ReserveRequest } from './contract';
 import { queryUnanimously } from './member-queries';
 import {
   type ReserveOptions,
   type ReserveOutcome,
+  type StoredReservations,
   evaluateBudget,
+  findLackingStores,
   seesSpreadReservation,
 } from './reservation-budget';
 import { HEDGE_DELAY_MILLISECONDS, type Reply, type StoreQueries } from './store-queries';
@@ -33,7 +42,7 @@
   'no-view' | 'unresponsive' | 'late' | 'failed' | 'other-view' | 'incomplete' | 'marked';
 
 type PreferredRound =
-  | { readonly kind: 'decided'; readonly answers: readonly ReservationsAnswer[] }
+  | { readonly kind: 'decided'; readonly answers: readonly StoredReservations[] }
   | {
       readonly kind: 'inconclusive';
       readonly reason: SpreadReason;
@@ -78,6 +87,7 @@
   async reserve(options: ReserveOptions): Promise<ReserveOutcome> {
     const { clock, metrics } = this.#options;
     const written = await this.#write(options);
+    this.#repair(written, options);
     let evaluation = evaluateBudget(written, options);
     for (
       let retry = 0;
@@ -93,7 +103,7 @@
     return { fits: kind === 'fits', committedTokens, holders };
   }
 
-  async #write(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+  async #write(options: ReserveOptions): Promise<readonly StoredReservations[]> {
     const round = await this.#writeToPreferredReplicas(options);
     if (round.kind === 'decided') return round.answers;
     const { program, turn } = options;
@@ -104,6 +114,33 @@
     return [...written, ...(await this.#read(options))];
   }
 
+  /**
+   * Writes reservations that a store lacks to it. Stores expire budgets by what they hold: without
+   * it, a store that took part only before or only after a failure would expire the rest of a
+   * budget that other stores may lose.
+   */
+  #repair(
+    answers: readonly StoredReservations[],
+    { program, turn, maxTokens }: ReserveOptions,
+  ): void {
+    const { stores, logger, metrics } = this.#options;
+    const { view } = stores;
+    if (view === undefined) return;
+    for (const { store, lacking } of findLackingStores(answers)) {
+      metrics.count('reservations_repaired_total', lacking.length);
+      const subject = { program, turn, store: store.name, lacking: lacking.length };
+      logger.info({ event: 'reservations-repaired', ...subject });
+      const request = { epoch: view.epoch, program, turn, most: maxTokens, others: lacking };
+      stores.call(store, 'turns.reserve', request).catch((error: unknown) => {
+        logger.info({ event: 'reservations-not-repaired', ...subject, error: messageOf(error) });
+      });
+    }
+  }
+
+  async #reserveAt(store: ViewMember, request: ReserveRequest): Promise<Reply<StoredReservations>> {
+    return withStore(await this.#options.stores.call(store, 'turns.reserve', request), store);
+  }
+
   async #writeToPreferredReplicas(options: ReserveOptions): Promise<PreferredRound> {
     const { stores, clock } = this.#options;
     const { program, turn, maxTokens } = options;
@@ -115,12 +152,11 @@
       return { kind: 'inconclusive', reason: 'unresponsive', store: unresponsive.name };
     }
     const request = { epoch: view.epoch, program, turn, most: maxTokens };
-    const round = await queryUnanimously<Reply<ReservationsAnswer>>({
+    const round = await queryUnanimously<Reply<StoredReservations>>({
       members: replicas,
       clock,
       timeLimitMilliseconds: HEDGE_DELAY_MILLISECONDS,
-      query: (replica) =>
-        stores.trackResponsiveness(replica, stores.call(replica, 'turns.reserve', request)),
+      query: (replica) => stores.trackResponsiveness(replica, this.#reserveAt(replica, request)),
       isAccepted: (answer) => answer.kind === 'reservations' && answer.complete,
     });
     if (round.kind === 'late') {
@@ -141,30 +177,40 @@
     return { kind: 'decided', answers };
   }
 
-  #writeToAll(options: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+  #writeToAll(options: ReserveOptions): Promise<readonly StoredReservations[]> {
     const { stores } = this.#options;
     const { program, turn, maxTokens, deadline } = options;
-    return stores.queryQuorum<ReservationsAnswer>({
+    return stores.queryQuorum<StoredReservations>({
       deadline,
       isCounted: (answer) => answer.complete,
       query: ({ epoch }, member) => {
         const request = { epoch, program, turn, most: maxTokens, spread: true } as const;
-        return stores.call(member, 'turns.reserve', request);
+        return this.#reserveAt(member, request);
       },
     });
   }
 
   /** Reads a program's reservations from a quorum of stores that hold all acknowledged data. */
-  #read({ program, deadline }: ReserveOptions): Promise<readonly ReservationsAnswer[]> {
+  #read({ program, deadline }: ReserveOptions): Promise<readonly StoredReservations[]> {
     const { stores } = this.#options;
-    return stores.queryQuorum<ReservationsAnswer>({
+    return stores.queryQuorum<StoredReservations>({
       deadline,
       isCounted: (answer) => answer.complete,
-      query: ({ epoch }, member) => stores.call(member, 'turns.reservations', { epoch, program }),
+      query: async ({ epoch }, member) => {
+        const request = { epoch, program };
+        return withStore(await stores.call(member, 'turns.reservations', request), member);
+      },
     });
   }
 }
 
+function withStore(
+  answer: Reply<ReservationsAnswer>,
+  store: ViewMember,
+): Reply<StoredReservations> {
+  return answer.kind === 'reservations' ? { ...answer, store } : answer;
+}
+
 function namesOf(members: readonly ViewMember[]): string {
   return members.map(({ name }) => name).join(', ');
 }
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -154,11 +154,12 @@
     turn,
     most,
     spread,
+    others = [],
   }: ReserveRequest): Promise<ReservationsAnswer | ViewMismatch> {
     return this.#inCurrentView(epoch, async () => {
       const { journal, clock } = this.#options;
       const written = { turn, tokens: most, settled: false };
-      const reservations = [spread === true ? { ...written, spread } : written];
+      const reservations = [spread === true ? { ...written, spread } : written, ...others];
       await journal.add([{ kind: 'budget', program, reservations, changedAt: clock.now() }]);
       return this.#reservations(program);
     });
