--- a/src/turns/tests/table.test.ts
+++ b/src/turns/tests/table.test.ts
@@ -78,3 +78,30 @@
     });
   });
 });
+
+// Guards against a message that a long chain makes too long, and against a read that does not end.
+describe('TurnTable.chain', () => {
+  const chain = [turn('t1', undefined, 0), turn('t2', 't1', 0), turn('t3', 't2', 0)] as const;
+
+  it('ends with the latest turns that fit, and names the next one', () => {
+    const table = tableOf(...chain);
+    const { records, missing } = table.chain('t3', 1);
+    expect(records.map(({ id }) => id)).toEqual(['t3']);
+    expect(missing).toBe('t2');
+    expect(table.chain('t3')).toMatchObject({ records: { length: 3 }, missing: undefined });
+  });
+
+  it('names the nearest absent turn', () => {
+    const [first, , third] = chain;
+    const table = tableOf(first, third);
+    expect(table.missingAncestor('t3')).toBe('t2');
+    expect(table.missingAncestor('t1')).toBeUndefined();
+    expect(table.missingAncestor('t4')).toBe('t4');
+  });
+
+  it('ends although the turns continue each other, which then counts as a missing turn', () => {
+    const table = tableOf(turn('t1', 't2', 0), turn('t2', 't1', 0));
+    expect(table.chain('t1').records).toHaveLength(2);
+    expect(table.missingAncestor('t1')).toBe('t1');
+  });
+});
