--- a/src/turns/tests/budget-retention.test.ts
+++ b/src/turns/tests/budget-retention.test.ts
@@ -1,5 +1,4 @@
-import { rankReplicas } from '../replica-ranking';
-import { HistoryCluster } from './history-cluster';
+import { QuietCluster } from './quiet-cluster';
 import { createRecord } from './store-group';
 
 const RETENTION_SECONDS = 60;
@@ -10,66 +9,48 @@
 
 const BUDGET = 1000;
 
-async function createCluster() {
-  const failures: string[] = [];
-  const cluster = new HistoryCluster({
-    seed: 1,
-    toleratedLosses: 1,
-    spares: 0,
-    onCommit: () => undefined,
-    onFailure: (message) => failures.push(message),
+// Guards against a store that forgets the tokens of a program which goes on at other stores.
+describe('the budget of a program whose first turns are older than their retention', () => {
+  let quiet: QuietCluster;
+
+  beforeEach(async () => {
+    quiet = await QuietCluster.start();
   });
-  const { clock } = cluster;
-  cluster.startAll();
-  await clock.runUntil(1500);
-  const [gateway] = cluster.gateways;
-  const { turns, view } = gateway ?? {};
-  if (turns === undefined || view?.value === undefined) throw new Error('no view was committed');
-  const [first, second] = rankReplicas(view.value, PROGRAM).flatMap((member) =>
-    cluster.stores.filter(({ name }) => name === member.name),
-  );
-  if (first === undefined || second === undefined) throw new Error('no stores');
-  const whileRunning = async <Value>(operation: Promise<Value>): Promise<Value> => {
-    await clock.runUntil(clock.monotonic() + 1600);
-    return operation;
-  };
-  const deadline = () => clock.monotonic() + 1500;
+
   /** Resolves with the tokens that the program's other turns hold. */
   const reserve = async (turn: string): Promise<number> => {
-    const limits = { maxTokens: TOKENS, budget: BUDGET, deadline: deadline() };
-    const reserved = await whileRunning(turns.reserve({ program: PROGRAM, turn, ...limits }));
+    const request = { program: PROGRAM, turn, maxTokens: TOKENS, budget: BUDGET };
+    const reserved = await quiet.call(0, (turns, deadline) =>
+      turns.reserve({ ...request, deadline }),
+    );
     return reserved.committedTokens;
   };
+
   const run = async (id: string, previous?: string) => {
     await reserve(id);
-    const kept = { retentionSeconds: RETENTION_SECONDS, endedAt: clock.now() };
-    const record = createRecord(id, { program: PROGRAM, previous, tokens: TOKENS, ...kept });
-    await whileRunning(turns.record(record, deadline()));
+    const times = { retentionSeconds: RETENTION_SECONDS, endedAt: quiet.cluster.clock.now() };
+    const record = createRecord(id, { program: PROGRAM, previous, tokens: TOKENS, ...times });
+    await quiet.call(0, (turns, deadline) => turns.record(record, deadline));
   };
-  return { cluster, failures, first, second, run, reserve };
-}
 
-// Guards against a store that forgets the tokens of a program which goes on at other stores.
-describe('the budget of a program whose first turns are older than their retention', () => {
   describe('after one store missed the later turns and another one lost its disk', () => {
     it('still counts the turn of a sub-agent, which no later turn continues', async () => {
-      const { cluster, failures, first, second, run, reserve } = await createCluster();
-      const { clock } = cluster;
+      const [first, second] = quiet.replicasOf(PROGRAM);
+      if (second === undefined) throw new Error('no second replica');
       await run('t1');
       await run('sub-agent', 't1');
-      cluster.killStore(second);
-      await clock.runUntil(55_000);
+      quiet.cluster.killStore(second);
+      await quiet.advance(50);
       await run('t2', 't1');
-      await clock.runUntil(110_000);
+      await quiet.advance(50);
       await run('t3', 't2');
-      cluster.startStore(second);
-      await clock.runUntil(140_000);
+      quiet.cluster.startStore(second);
+      await quiet.advance(30);
       expect(await reserve('t4')).toBe(4 * TOKENS);
-      cluster.wipe(first);
-      cluster.startStore(first);
-      await clock.runUntil(155_000);
+      quiet.loseDisk(first);
+      await quiet.advance(15);
       expect(await reserve('t4')).toBe(4 * TOKENS);
-      expect(failures).toEqual([]);
+      expect(quiet.failures).toEqual([]);
     });
   });
 });
--- a/src/turns/tests/continued-chains.test.ts
+++ b/src/turns/tests/continued-chains.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import { ContinuedChainsSimulation } from './continued-chains-simulation';
-import { HistoryCluster } from './history-cluster';
 import { type HistorySchedule, historySchedules } from './history-schedule';
 import type { LossRules } from './loss-allowance';
+import { QuietCluster } from './quiet-cluster';
 import { createRecord } from './store-group';
 
 /** More runs: `CHAIN_RUNS=200 CHAIN_SEED=7 npx jest src/turns/tests/continued-chains`. */
@@ -36,8 +36,6 @@
 
 const RETENTION_SECONDS = 20;
 
-const START_SECONDS = 2;
-
 const CATCH_UP_SECONDS = 5;
 
 const CONVERSATIONS = Array.from({ length: 12 }, (_, index) => `c${index}`);
@@ -45,48 +43,16 @@
 /** Turns of a conversation, the first of which is then two retentions past its expiry. */
 const CONTINUED_TURNS = 14;
 
-/** Time for which the simulation runs while a turn is recorded or read. */
-const CALL_SECONDS = 2;
-
-function createCluster() {
-  const failures: string[] = [];
-  const cluster = new HistoryCluster({
-    seed: 1,
-    toleratedLosses: 1,
-    spares: 0,
-    onCommit: () => undefined,
-    onFailure: (message) => failures.push(message),
-  });
-  cluster.startAll();
-  const { clock } = cluster;
-  const advance = (seconds: number) => clock.runUntil(clock.monotonic() + seconds * 1000);
-  const gateway = (index: number) => {
-    const turns = cluster.gateways[index]?.turns;
-    if (turns === undefined) throw new Error(`gateway ${index} does not run`);
-    return turns;
-  };
-  const deadline = () => clock.monotonic() + (CALL_SECONDS * 1000) / 2;
-  const record = async (id: string, previous: string | undefined, program: string) => {
-    const times = { endedAt: clock.now(), retentionSeconds: RETENTION_SECONDS };
-    const recorded = gateway(0).record(
-      createRecord(id, { previous, program, ...times }),
-      deadline(),
-    );
-    await advance(CALL_SECONDS);
-    await recorded;
-  };
-  /** Resolves with the length of the chain. */
-  const read = async (id: string, program: string) => {
-    const reading = gateway(1)
-      .chain(id, program, deadline())
-      .then(
-        (chain) => (chain.kind === 'found' ? chain.records.length : chain.kind),
-        (error: unknown) => String(error),
-      );
-    await advance(CALL_SECONDS);
-    return reading;
-  };
-  return { cluster, failures, advance, record, read };
+/** Resolves with the length of a chain, or with why it can't be read. */
+async function readLength(
+  quiet: QuietCluster,
+  id: string,
+  program: string,
+): Promise<number | string> {
+  const chain = await quiet
+    .call(1, (turns, deadline) => turns.chain(id, program, deadline))
+    .catch((error: unknown) => ({ kind: String(error) }) as const);
+  return 'records' in chain ? chain.records.length : chain.kind;
 }
 
 async function expectNoViolations(rules: LossRules): Promise<void> {
@@ -105,28 +71,30 @@
 describe('a chain that goes on for longer than its first turns are retained', () => {
   describe('in a second program, until one store loses its disk', () => {
     it('is whole at another gateway', async () => {
-      const { cluster, advance, record, read, failures } = createCluster();
-      await advance(START_SECONDS);
+      const quiet = await QuietCluster.start();
+      const record = (id: string, previous: string | undefined, program: string) => {
+        const times = { endedAt: quiet.cluster.clock.now(), retentionSeconds: RETENTION_SECONDS };
+        const turn = createRecord(id, { previous, program, ...times });
+        return quiet.call(0, (turns, deadline) => turns.record(turn, deadline));
+      };
       await Promise.all(
         CONVERSATIONS.map((name) => record(`${name}-1`, undefined, `first ${name}`)),
       );
       for (let count = 2; count <= CONTINUED_TURNS; count += 1) {
-        await advance(RETENTION_SECONDS / 2);
-        const previous = (name: string) => `${name}-${count - 1}`;
-        await Promise.all(
-          CONVERSATIONS.map((name) => record(`${name}-${count}`, previous(name), `second ${name}`)),
-        );
+        await quiet.advance(RETENTION_SECONDS / 2);
+        const recordNext = (name: string) =>
+          record(`${name}-${count}`, `${name}-${count - 1}`, `second ${name}`);
+        await Promise.all(CONVERSATIONS.map(recordNext));
       }
-      const [store] = cluster.stores;
-      if (store === undefined) throw new Error('no stores');
-      cluster.wipe(store);
-      cluster.startStore(store);
-      await advance(CATCH_UP_SECONDS);
+      quiet.loseDisk(quiet.cluster.stores[0]);
+      await quiet.advance(CATCH_UP_SECONDS);
       const lengths = await Promise.all(
-        CONVERSATIONS.map((name) => read(`${name}-${CONTINUED_TURNS}`, `second ${name}`)),
+        CONVERSATIONS.map((name) =>
+          readLength(quiet, `${name}-${CONTINUED_TURNS}`, `second ${name}`),
+        ),
       );
       expect(lengths).toEqual(CONVERSATIONS.map(() => CONTINUED_TURNS));
-      expect(failures).toEqual([]);
+      expect(quiet.failures).toEqual([]);
     });
   });
 
