Connections between processes count silence from the first unanswered call

Cause: the idle time of a peer connection ran from the last byte received, also where no answer was due for minutes.

The time now runs from the first call since bytes were received, and starts again while the peer reads what is queued for it.

--- a/src/rpc/peer-connection.ts
+++ b/src/rpc/peer-connection.ts
@@ -14,7 +14,10 @@
 /** Interval between checks of whether a keepalive is needed. */
 const KEEPALIVE_INTERVAL_MILLISECONDS = 500;
 
-/** Time without received bytes after which a connection with pending calls is closed. */
+/**
+ * Time after a call in which bytes must be received, or bytes that are queued for the peer be sent;
+ * otherwise the connection is closed.
+ */
 const IDLE_TIMEOUT_MILLISECONDS = 1500;
 
 /** Bytes buffered for a slow peer; above this limit a cast is dropped and a call fails. */
@@ -57,6 +60,10 @@
   #connected = false;
   #failedAt = -Infinity;
   #lastReceivedAt = -Infinity;
+  /** Time of the first call since bytes were received; undefined if no answer is due. */
+  #awaitingSince: number | undefined;
+  /** Queued bytes, and bytes sent so far, at the last keepalive check. */
+  #sendProgress = { queuedBytes: 0, sentBytes: 0 };
   #lastId = 0;
   #cancelKeepalive: CancelTimer = () => undefined;
   #sentSinceKeepalive = false;
@@ -79,7 +86,10 @@
         reject(this.#error('lost', `no response to ${method} within ${milliseconds} ms`));
       });
       this.#pending.set(id, { resolve, reject, cancel });
-      if (this.#write({ kind: 'call', id, method, body })) return;
+      if (this.#write({ kind: 'call', id, method, body })) {
+        this.#awaitingSince ??= this.#options.clock.monotonic();
+        return;
+      }
       this.#pending.delete(id);
       cancel();
       reject(
@@ -144,6 +154,7 @@
       cancelConnect();
       this.#connected = true;
       this.#lastReceivedAt = clock.monotonic();
+      if (this.#awaitingSince !== undefined) this.#awaitingSince = this.#lastReceivedAt;
       this.#options.onState(true, 'connected');
       this.#scheduleKeepalive(socket);
     });
@@ -159,6 +170,7 @@
 
   #receive(socket: Socket, decoder: FrameDecoder, chunk: Buffer): void {
     this.#lastReceivedAt = this.#options.clock.monotonic();
+    this.#awaitingSince = undefined;
     try {
       for (const frame of decoder.push(chunk)) this.#dispatch(frame);
     } catch (error) {
@@ -189,9 +201,11 @@
     const { clock } = this.#options;
     this.#cancelKeepalive = clock.after(KEEPALIVE_INTERVAL_MILLISECONDS, () => {
       if (this.#socket !== socket) return;
-      const idleMilliseconds = clock.monotonic() - this.#lastReceivedAt;
-      if (idleMilliseconds > IDLE_TIMEOUT_MILLISECONDS && this.#pending.size > 0) {
-        this.#disconnect(socket, `no bytes received for ${Math.round(idleMilliseconds)} ms`);
+      this.#recordSendProgress(socket);
+      const idleMilliseconds = clock.monotonic() - (this.#awaitingSince ?? Infinity);
+      if (idleMilliseconds > IDLE_TIMEOUT_MILLISECONDS) {
+        const reason = `no bytes received for ${Math.round(idleMilliseconds)} ms after a call`;
+        this.#disconnect(socket, reason);
         return;
       }
       this.#sendKeepaliveIfNeeded();
@@ -199,6 +213,18 @@
     });
   }
 
+  /** A peer that reads what is queued for it is alive, although its answers wait behind that. */
+  #recordSendProgress(socket: Socket): void {
+    const queuedBytes = socket.writableLength;
+    const sentBytes = socket.bytesWritten - queuedBytes;
+    const previous = this.#sendProgress;
+    this.#sendProgress = { queuedBytes, sentBytes };
+    const isSending = previous.queuedBytes > 0 && sentBytes > previous.sentBytes;
+    if (isSending && this.#awaitingSince !== undefined) {
+      this.#awaitingSince = this.#options.clock.monotonic();
+    }
+  }
+
   /** Sends a keepalive call if messages were sent but nothing was received for an interval. */
   #sendKeepaliveIfNeeded(): void {
     const idleMilliseconds = this.#options.clock.monotonic() - this.#lastReceivedAt;
@@ -210,6 +236,8 @@
   #disconnect(socket: Socket | undefined, reason: string): void {
     if (socket === undefined || this.#socket !== socket) return;
     this.#socket = undefined;
+    this.#awaitingSince = undefined;
+    this.#sendProgress = { queuedBytes: 0, sentBytes: 0 };
     this.#cancelKeepalive();
     socket.destroy();
     const wasConnected = this.#connected;
--- a/src/rpc/tests/rpc.test.ts
+++ b/src/rpc/tests/rpc.test.ts
@@ -3,6 +3,8 @@
 import { ManualClock } from '../../core/tests/manual-clock';
 import { findFreeAddresses } from '../../local';
 import { FrameDecoder, RpcServer, PeerConnections, encodeFrame } from '..';
+import { PeerConnection } from '../peer-connection';
+import { SilentPeer } from './silent-peer';
 
 interface TestContract {
   readonly calls: {
@@ -200,6 +202,50 @@
     });
   });
 
+  // Guards against a healthy peer that is given up, with all that is queued for it, at the first check
+  // after it was sent something for the first time in a while.
+  describe('a connection without traffic for a while', () => {
+    let clock: ManualClock;
+    let peer: SilentPeer;
+    let connection: PeerConnection;
+
+    beforeEach(async () => {
+      clock = new ManualClock();
+      peer = await SilentPeer.start();
+      connection = new PeerConnection({
+        ...{ address: peer.address, clock, onState: () => undefined },
+      });
+      await connection.call('double', 1, 5000);
+      const answered = connection.castConfirmed('note', 'last message for a while');
+      clock.advance(500);
+      await answered;
+      peer.becomeSilent();
+      clock.advance(36_000);
+    });
+
+    afterEach(() => {
+      connection.close();
+      peer.stop();
+    });
+
+    it('waits for the answer to its keepalive as long as any other connection', async () => {
+      const cast = connection.castConfirmed('note', 'first message for a while');
+      clock.advance(1400);
+      await peer.untilCalled();
+      peer.answerAll();
+      await cast;
+      expect(connection.connected).toBe(true);
+    });
+
+    it('is given up if the keepalive is not answered', async () => {
+      const cast = connection.castConfirmed('note', 'never read');
+      const lost = expect(cast).rejects.toMatchObject({ failure: 'lost' });
+      clock.advance(2600);
+      await lost;
+      expect(connection.connected).toBe(false);
+    });
+  });
+
   describe('invalid frames', () => {
     it('close only their own connection', async () => {
       const socket = connect(address.port, address.host);
