Appends: nothing is sent twice while it is on its way, and an append has a size

Cause: each heartbeat, every 100 ms, sent all entries from nextIndex again although an append with them was on its way, to each of five peers, up to 256 entries of any size.

While an append is in flight, heartbeats carry no entries and continue it: the order of a connection is kept, so a peer rejects such a heartbeat only if the append was lost, and the entries are sent again then.

--- a/src/replication/progress.ts
+++ b/src/replication/progress.ts
@@ -1,13 +1,20 @@
 import { type Membership, allMembers, quorumOf } from './membership';
 
+/** An append with entries that is not answered yet. */
+export interface AppendInFlight {
+  readonly lastIndex: number;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+}
+
 /** Replication progress of one peer, as known to the leader. */
 export interface PeerProgress {
   nextIndex: number;
   matchIndex: number;
   /** Send time of the newest answered message, monotonic milliseconds; -Infinity if none. */
   answeredAt: number;
-  /** An append with entries is unanswered; only heartbeats resend it. */
-  appendInFlight: boolean;
+  /** Meanwhile, heartbeats carry no entries. */
+  appendInFlight: AppendInFlight | undefined;
   /** A snapshot is being sent, since entries that the peer needs were dropped. */
   snapshotInFlight: boolean;
 }
@@ -47,7 +54,7 @@
     for (const peer of members) {
       if (this.#peers.has(peer)) continue;
       const nextIndex = lastIndex + 1;
-      const initial = { matchIndex: 0, appendInFlight: false, snapshotInFlight: false };
+      const initial = { matchIndex: 0, appendInFlight: undefined, snapshotInFlight: false };
       this.#peers.set(peer, { ...initial, nextIndex, answeredAt });
     }
   }
--- a/src/replication/replicator.ts
+++ b/src/replication/replicator.ts
@@ -1,10 +1,13 @@
 import type { RaftLog } from './raft-log';
-import type { AppendAnswer, SnapshotAnswer } from './messages';
+import type { AppendAnswer, LogEntry, SnapshotAnswer } from './messages';
 import type { Outbox } from './outbox';
 import { type PeerProgress, ProgressTable } from './progress';
 
 const ENTRIES_PER_MESSAGE = 256;
 
+/** Characters of commands in one append; a single entry may have more. */
+const CHARACTERS_PER_MESSAGE = 512 * 1024;
+
 export interface ReplicatorOptions {
   readonly self: string;
   readonly log: RaftLog;
@@ -68,7 +71,7 @@
   broadcast(now: number, isHeartbeat: boolean): void {
     if (isHeartbeat) this.#nextHeartbeatAt = now + this.#options.heartbeatMilliseconds;
     for (const [peer, progress] of this.#progress.peers) {
-      const isIdle = !progress.appendInFlight && !progress.snapshotInFlight;
+      const isIdle = progress.appendInFlight === undefined && !progress.snapshotInFlight;
       if (isHeartbeat || isIdle) this.#sendAppend(peer, progress, now);
     }
   }
@@ -92,12 +95,15 @@
   recordAppendAnswer(answer: AppendAnswer): void {
     const progress = this.recordAnswer(answer);
     if (progress === undefined) return;
-    progress.appendInFlight = false;
+    const { appendInFlight } = progress;
     if (answer.success) {
       progress.snapshotInFlight = false;
       progress.matchIndex = Math.max(progress.matchIndex, answer.matchIndex);
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-    } else {
+      const isAnswered = progress.matchIndex >= (appendInFlight?.lastIndex ?? 0);
+      if (isAnswered) progress.appendInFlight = undefined;
+    } else if (answer.sentAt >= (appendInFlight?.sentAt ?? -Infinity)) {
+      progress.appendInFlight = undefined;
       progress.nextIndex = Math.max(progress.matchIndex + 1, answer.matchIndex + 1);
     }
   }
@@ -105,6 +111,7 @@
   sendNextEntries(peer: string, now: number): void {
     const progress = this.#progress.get(peer);
     if (progress === undefined || progress.snapshotInFlight) return;
+    if (progress.appendInFlight !== undefined) return;
     if (progress.nextIndex <= this.#options.log.lastIndex) this.#sendAppend(peer, progress, now);
   }
 
@@ -114,19 +121,32 @@
     if (progress !== undefined) progress.snapshotInFlight = false;
   }
 
-  /** Sends the next entries, or requests a snapshot if they were dropped. */
+  /**
+   * Sends the next entries, or requests a snapshot if they were dropped. While an append is in flight,
+   * sends a heartbeat that continues it: a connection keeps the order of its messages, so the peer
+   * rejects the heartbeat only if the append was lost.
+   */
   #sendAppend(peer: string, progress: PeerProgress, now: number): void {
-    const { self, log, outbox } = this.#options;
+    const { log, outbox } = this.#options;
+    if (progress.appendInFlight !== undefined) {
+      this.#send(peer, progress.appendInFlight.lastIndex, [], now);
+      return;
+    }
     const isDropped = progress.nextIndex <= log.base.index;
     if (isDropped && !progress.snapshotInFlight) {
       progress.snapshotInFlight = true;
       outbox.requestSnapshot(peer);
     }
     const previousIndex = isDropped ? log.lastIndex : progress.nextIndex - 1;
-    const entries = isDropped
-      ? []
-      : log.range(progress.nextIndex, log.lastIndex, ENTRIES_PER_MESSAGE);
-    progress.appendInFlight = entries.length > 0;
+    const entries = isDropped ? [] : this.#entriesFrom(progress.nextIndex);
+    if (entries.length > 0) {
+      progress.appendInFlight = { lastIndex: previousIndex + entries.length, sentAt: now };
+    }
+    this.#send(peer, previousIndex, entries, now);
+  }
+
+  #send(peer: string, previousIndex: number, entries: readonly LogEntry[], now: number): void {
+    const { self, log, outbox } = this.#options;
     outbox.send(peer, {
       kind: 'append',
       term: this.#term,
@@ -138,4 +158,15 @@
       sentAt: now,
     });
   }
+
+  #entriesFrom(first: number): readonly LogEntry[] {
+    const { log } = this.#options;
+    const entries = log.range(first, log.lastIndex, ENTRIES_PER_MESSAGE);
+    let characters = 0;
+    const end = entries.findIndex(({ command }, index) => {
+      characters += command.length;
+      return index > 0 && characters > CHARACTERS_PER_MESSAGE;
+    });
+    return end < 0 ? entries : entries.slice(0, end);
+  }
 }
--- a/src/replication/tests/membership.test.ts
+++ b/src/replication/tests/membership.test.ts
@@ -14,7 +14,7 @@
       const caughtUp = {
         nextIndex: 101,
         matchIndex: 100,
-        appendInFlight: false,
+        appendInFlight: undefined,
         snapshotInFlight: false,
       };
       const peers = ['b/1', 'c/1', 'd/1', 'b/2'].map(
--- a/src/replication/tests/raft-member.test.ts
+++ b/src/replication/tests/raft-member.test.ts
@@ -68,6 +68,78 @@
     });
   });
 
+  // Guards against a leader that fills its link with entries that are on their way already, so that
+  // heartbeats are late and its followers elect another leader.
+  describe('a leader with an append in flight', () => {
+    const HEARTBEAT_MILLISECONDS = 100;
+
+    /** A leader that has sent `commands` to `b`, and the time at which it sends its next heartbeat. */
+    function lead(commands: readonly string[]) {
+      const member = createMember([], 0);
+      const electedAt = ELECTION_MILLISECONDS * 2;
+      const term = elect(member, electedAt);
+      const acknowledge = (matchIndex: number, success: boolean, sentAt: number) => {
+        const answer = { kind: 'append-answer', from: 'b', term, matchIndex, success } as const;
+        member.receive({ ...answer, sentAt }, sentAt);
+      };
+      takeAppends(member);
+      acknowledge(1, true, electedAt);
+      for (const command of commands) member.propose(command, electedAt);
+      const heartbeatAt = electedAt + HEARTBEAT_MILLISECONDS;
+      return { member, acknowledge, heartbeatAt, sent: takeAppends(member) };
+    }
+
+    /** Entries of the appends to `b` since the last call. */
+    function takeAppends(member: RaftMember): readonly (readonly LogEntry[])[] {
+      return member
+        .takeOutput()
+        .messages.filter(({ to }) => to === 'b')
+        .flatMap(({ message }) => (message.kind === 'append' ? [message.entries] : []));
+    }
+
+    it('sends heartbeats without entries', () => {
+      const { member, heartbeatAt, sent } = lead(['large']);
+      expect(sent).toMatchObject([[{ command: 'large' }]]);
+      member.tick(heartbeatAt);
+      member.tick(heartbeatAt + HEARTBEAT_MILLISECONDS);
+      expect(takeAppends(member)).toEqual([[], []]);
+    });
+
+    it('sends the entries again once a heartbeat shows that they were lost', () => {
+      const { member, acknowledge, heartbeatAt } = lead(['large']);
+      member.tick(heartbeatAt);
+      takeAppends(member);
+      acknowledge(1, false, heartbeatAt);
+      expect(takeAppends(member)).toMatchObject([[{ command: 'large' }]]);
+    });
+
+    it('does not send them again for an answer to an earlier heartbeat', () => {
+      const { member, acknowledge, heartbeatAt } = lead(['large']);
+      acknowledge(1, true, heartbeatAt - HEARTBEAT_MILLISECONDS);
+      acknowledge(1, false, heartbeatAt - HEARTBEAT_MILLISECONDS - 1);
+      expect(takeAppends(member)).toEqual([]);
+    });
+
+    it('sends the next entries once the append is acknowledged', () => {
+      const { member, acknowledge, heartbeatAt } = lead(['first', 'second', 'third']);
+      acknowledge(2, true, heartbeatAt);
+      expect(takeAppends(member)).toMatchObject([[{ command: 'second' }, { command: 'third' }]]);
+    });
+
+    it('bounds the size of an append, but sends an entry of any size', () => {
+      const large = 'x'.repeat(400_000);
+      const { member, acknowledge, heartbeatAt } = lead(['first', large, large, `${large}${large}`]);
+      const sizes: number[][] = [];
+      for (const index of [2, 3, 4]) {
+        acknowledge(index, true, heartbeatAt);
+        for (const entries of takeAppends(member)) {
+          sizes.push(entries.map(({ command }) => command.length));
+        }
+      }
+      expect(sizes).toEqual([[400_000], [400_000], [800_000]]);
+    });
+  });
+
   describe('a member with recent leader contact', () => {
     it('denies votes, so that the read lease of the leader stays valid', () => {
       const member = createMember([], 1);
