--- a/src/cluster/client.ts
+++ b/src/cluster/client.ts
@@ -58,6 +58,11 @@
     return this.#call('cluster.propose', command);
   }
 
+  /** Replaces the configuration; rejects with {@link ClusterUnavailableError}. */
+  configure(version: number, text: string): Promise<CommandOutcome> {
+    return this.propose({ kind: 'configure', version, text });
+  }
+
   /** Linearizable read of the configuration; rejects with {@link ClusterUnavailableError}. */
   readConfiguration(): Promise<VersionedConfiguration | undefined> {
     return this.#call('cluster.read', null);
--- a/src/cluster/tests/cluster-simulation.ts
+++ b/src/cluster/tests/cluster-simulation.ts
@@ -38,6 +38,8 @@
   /** Number of hosts with a replica at the first start. */
   readonly replicas: number;
   readonly createLogger?: (host: string, now: () => number) => Logger;
+  /** Bandwidth of each host's outgoing link; unlimited by default. */
+  readonly bytesPerMillisecond?: number;
 }
 
 /**
@@ -58,9 +60,10 @@
   #addresses = 0;
   #nextReadAt = 0;
 
-  constructor({ seed, replicas, createLogger = createSilentLogger }: ClusterSimulationOptions) {
+  constructor(options: ClusterSimulationOptions) {
+    const { seed, replicas, createLogger = createSilentLogger, bytesPerMillisecond } = options;
     this.random = new SeededRandom(seed);
-    this.network = new SimulatedNetwork(this.clock, this.random);
+    this.network = new SimulatedNetwork(this.clock, this.random, bytesPerMillisecond);
     const onViolation = (violation: string) => {
       this.violations.push(violation);
     };
--- a/src/cluster/tests/simulated-network.ts
+++ b/src/cluster/tests/simulated-network.ts
@@ -1,6 +1,7 @@
 import type { Clock, RandomSource } from '../../core';
 import { type ConfirmingRpcClient, type RpcContract, RpcError } from '../../rpc';
 import { confirmOrReject } from '../../rpc/tests/simulated-confirmation';
+import { SimulatedLink } from './simulated-link';
 
 /** The handlers of one run of a process. */
 export interface SimulatedServer {
@@ -30,19 +31,30 @@
 const MINIMUM_DELAY_MILLISECONDS = 1;
 const MAXIMUM_DELAY_MILLISECONDS = 30;
 
-/** Delivers calls and casts with random delays, out of order; drops them at blocked links. */
+/**
+ * Delivers calls and casts with random delays, out of order; drops them at blocked links. With a
+ * bandwidth, each host has a link for what it sends, and connections keep the order of messages.
+ */
 export class SimulatedNetwork {
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #servers = new Map<string, SimulatedServer>();
   /** Number of cuts by link. */
   readonly #cuts = new Map<string, number>();
+  readonly #links = new Map<string, SimulatedLink>();
+  readonly #bytesPerMillisecond: number;
   #messages: Message[] = [];
   lossFraction = 0;
 
-  constructor(clock: Clock, random: RandomSource) {
+  constructor(clock: Clock, random: RandomSource, bytesPerMillisecond = Infinity) {
     this.#clock = clock;
     this.#random = random;
+    this.#bytesPerMillisecond = bytesPerMillisecond;
+  }
+
+  /** Bytes that a host has sent, if the network has a bandwidth. */
+  sentBytesOf(host: string): number {
+    return this.#links.get(host)?.sentBytes ?? 0;
   }
 
   listen(address: string, server: SimulatedServer): void {
@@ -91,13 +103,13 @@
         caller.clock.after(milliseconds, () => {
           reject(RpcError.of('lost', 'call timed out'));
         });
-        this.#send(caller.host, address, (server) => {
+        this.#send(caller.host, address, body, (server) => {
           const handler = server.calls[name];
           if (handler === undefined) return;
           // A handler fails only if its process was ended, which then answers nothing.
           Promise.resolve(handler(body)).then(
             (answer) => {
-              this.#answer(server, caller, () => {
+              this.#answer(server, caller, answer, () => {
                 resolve(answer);
               });
             },
@@ -108,11 +120,11 @@
     return {
       call: call,
       cast: (address, name, body) => {
-        this.#send(caller.host, address, (server) => server.casts[name]?.(body));
+        this.#send(caller.host, address, body, (server) => server.casts[name]?.(body));
       },
       castConfirmed: (address, name, body) =>
         confirmOrReject(caller.clock, (confirm) => {
-          this.#send(caller.host, address, (server) => {
+          this.#send(caller.host, address, body, (server) => {
             server.casts[name]?.(body);
             confirm();
           });
@@ -121,23 +133,39 @@
     };
   }
 
-  #answer(server: SimulatedServer, caller: SimulatedCaller, action: () => void): void {
+  #answer(
+    server: SimulatedServer,
+    caller: SimulatedCaller,
+    body: unknown,
+    action: () => void,
+  ): void {
     const address = [...this.#servers].find(([, other]) => other.host === caller.host)?.[0];
     const isServing = [...this.#servers.values()].includes(server);
     if (address === undefined || !isServing) return;
-    this.#send(server.host, address, () => {
+    this.#send(server.host, address, body, () => {
       if (caller.isRunning) action();
     });
   }
 
-  #send(from: string, address: string, deliver: Message['deliver']): void {
+  #send(from: string, address: string, body: unknown, deliver: Message['deliver']): void {
     if (this.#random.fraction() < this.lossFraction) return;
+    if (this.#bytesPerMillisecond !== Infinity) {
+      const deliverAt = this.#linkOf(from).send(body, this.#clock.monotonic());
+      this.#messages.push({ from, address, deliverAt, deliver });
+      return;
+    }
     const span = MAXIMUM_DELAY_MILLISECONDS - MINIMUM_DELAY_MILLISECONDS;
     const delay = MINIMUM_DELAY_MILLISECONDS + this.#random.fraction() * span;
     const deliverAt = this.#clock.monotonic() + delay;
     this.#messages.push({ from, address, deliverAt, deliver });
   }
 
+  #linkOf(host: string): SimulatedLink {
+    const link = this.#links.get(host) ?? new SimulatedLink(this.#bytesPerMillisecond);
+    this.#links.set(host, link);
+    return link;
+  }
+
   #deliver(message: Message): void {
     const server = this.#servers.get(message.address);
     if (server === undefined) return;
--- a/src/replication/tests/raft-member.test.ts
+++ b/src/replication/tests/raft-member.test.ts
@@ -128,7 +128,12 @@
 
     it('bounds the size of an append, but sends an entry of any size', () => {
       const large = 'x'.repeat(400_000);
-      const { member, acknowledge, heartbeatAt } = lead(['first', large, large, `${large}${large}`]);
+      const { member, acknowledge, heartbeatAt } = lead([
+        'first',
+        large,
+        large,
+        `${large}${large}`,
+      ]);
       const sizes: number[][] = [];
       for (const index of [2, 3, 4]) {
         acknowledge(index, true, heartbeatAt);
