Replicas write a configuration that is proposed again once

Cause, and class: retries that add work (a metastable failure). Each time that an operator or a gateway sent an unacknowledged change again, the leader added its whole text to the log, which was sent to five replicas and applied as 'unchanged'. The more the links were full, the more was sent.

--- a/src/cluster/replica.ts
+++ b/src/cluster/replica.ts
@@ -58,6 +58,8 @@
   readonly stateMachine: ClusterStateMachine;
   #log: ReplicatedLog<CommandOutcome>;
   #cancelReopen: CancelTimer = () => undefined;
+  /** Proposals under way of configurations, by version. */
+  readonly #configuring = new Map<number, Promise<LeaderAnswer<CommandOutcome>>>();
 
   constructor(options: ClusterReplicaOptions) {
     this.#options = options;
@@ -122,6 +124,29 @@
     if (voters < needed) {
       return { kind: 'not-now', reason: `${voters} of ${needed} copies of the state exist` };
     }
+    return command.kind === 'configure' ? this.#configure(command) : this.#commit(command);
+  }
+
+  /**
+   * Operators send a change again until it is acknowledged. Only the first one is added to the log: the
+   * others would be sent to every replica as well.
+   */
+  #configure(
+    command: Extract<ClusterCommand, { kind: 'configure' }>,
+  ): Promise<LeaderAnswer<CommandOutcome>> {
+    const { version } = command;
+    const isHeld = version <= (this.stateMachine.configuration?.version ?? 0);
+    if (isHeld) return Promise.resolve({ kind: 'done', value: 'unchanged' });
+    const underWay = this.#configuring.get(version);
+    if (underWay !== undefined) return underWay;
+    const proposal = this.#commit(command).finally(() => {
+      this.#configuring.delete(version);
+    });
+    this.#configuring.set(version, proposal);
+    return proposal;
+  }
+
+  async #commit(command: ClusterCommand): Promise<LeaderAnswer<CommandOutcome>> {
     try {
       return { kind: 'done', value: await this.#log.propose(JSON.stringify(command)) };
     } catch (error) {
--- a/src/cluster/tests/large-configuration.test.ts
+++ b/src/cluster/tests/large-configuration.test.ts
@@ -64,22 +64,22 @@
   async replace(version: number): Promise<Rollout> {
     const text = createText(version);
     const startedAt = this.#now;
-    let acknowledgedAt: number | undefined;
-    for (let attempt = 0; acknowledgedAt === undefined && attempt < 20; attempt += 1) {
+    let acknowledgedAt = Infinity;
+    for (let attempt = 0; acknowledgedAt === Infinity && attempt < 20; attempt += 1) {
       const { process } = this.#gateways[attempt % this.#gateways.length] ?? {};
-      let isOver = false;
+      const call = { isOver: false };
       void process?.client.configure(version, text).then(
         () => {
-          acknowledgedAt ??= this.#now;
+          acknowledgedAt = Math.min(acknowledgedAt, this.#now);
         },
         () => {
-          isOver = true;
+          call.isOver = true;
         },
       );
       const waitUntil = this.#now + OPERATOR_TIMEOUT_MILLISECONDS;
-      while (acknowledgedAt === undefined && !isOver && this.#now < waitUntil) await this.#step();
+      while (!call.isOver && this.#now < Math.min(waitUntil, acknowledgedAt)) await this.#step();
     }
-    if (acknowledgedAt === undefined) return NOT_ACKNOWLEDGED;
+    if (acknowledgedAt === Infinity) return NOT_ACKNOWLEDGED;
     while (this.#gateways.some((gateway) => versionAt(gateway) < version)) await this.#step();
     const lastAfter = this.#now - acknowledgedAt;
     return { acknowledgedAfter: acknowledgedAt - startedAt, lastAfter };
--- a/src/cluster/tests/replica.test.ts
+++ b/src/cluster/tests/replica.test.ts
@@ -82,6 +82,10 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 
+  writtenBytes(): number {
+    return this.disk.size;
+  }
+
   configure(version: number) {
     return this.replica.propose({ kind: 'configure', version, text: `text ${version}` });
   }
@@ -97,6 +101,21 @@
     });
   });
 
+  // Guards against an operator's repeated change that is written to the log, and sent to every replica,
+  // once for each time that it is sent.
+  describe('with a configuration that is proposed again', () => {
+    it('writes it once', async () => {
+      const fixture = new ReplicaFixture(0);
+      await fixture.start();
+      const text = 'x'.repeat(1000);
+      const propose = () => fixture.replica.propose({ kind: 'configure', version: 1, text });
+      const answers = await Promise.all([propose(), propose()]);
+      answers.push(await propose());
+      expect(answers.map(({ kind }) => kind)).toEqual(['done', 'done', 'done']);
+      expect(fixture.writtenBytes()).toBeLessThan(2 * text.length);
+    });
+  });
+
   describe('before it leads', () => {
     it('neither reads nor changes the state', async () => {
       const fixture = new ReplicaFixture(0);
--- a/src/storage/tests/memory-disk.ts
+++ b/src/storage/tests/memory-disk.ts
@@ -89,6 +89,11 @@
     };
   }
 
+  /** Bytes of all files. */
+  get size(): number {
+    return [...this.#files.values()].reduce((sum, { bytes }) => sum + bytes.length, 0);
+  }
+
   /** Runs the first `count` of the waiting operations. */
   releaseOperations(count = Infinity): void {
     for (const release of this.#waiting.splice(0, count)) release();
