Configurations are compressed once, where they are accepted

Callers saw late answers and old configurations while a large configuration filled the links of the replicas (docs/incidents/configuration-congests-its-own-distribution.md, hypothesis 1).

--- a/src/cluster/client.ts
+++ b/src/cluster/client.ts
@@ -11,8 +11,15 @@
 import type { NodeDirectory } from './directory';
 import { ClusterUnavailableError } from './errors';
 import type { HeartbeatSender } from './heartbeat-sender';
+import { packText, unpackText } from './packed-text';
 import type { ClusterCommand, CommandOutcome } from './state-machine';
 
+/** A configuration as its operator sent it. */
+export interface ConfigurationText {
+  readonly version: number;
+  readonly text: string;
+}
+
 /**
  * Total time for one call; below the 1 s after which an operator's client calls another process.
  */
@@ -60,12 +67,13 @@
 
   /** Replaces the configuration; rejects with {@link ClusterUnavailableError}. */
   configure(version: number, text: string): Promise<CommandOutcome> {
-    return this.propose({ kind: 'configure', version, text });
+    return this.propose({ kind: 'configure', version, text: packText(text) });
   }
 
   /** Linearizable read of the configuration; rejects with {@link ClusterUnavailableError}. */
-  readConfiguration(): Promise<VersionedConfiguration | undefined> {
-    return this.#call('cluster.read', null);
+  async readConfiguration(): Promise<ConfigurationText | undefined> {
+    const read: VersionedConfiguration | undefined = await this.#call('cluster.read', null);
+    return read === undefined ? undefined : { ...read, text: unpackText(read.text) };
   }
 
   /** Starts retiring a store, whose turns are then copied to other stores. */
--- a/src/cluster/contract.ts
+++ b/src/cluster/contract.ts
@@ -1,6 +1,7 @@
 import type { QuotaGrants, QuotaReport } from '../quotas';
 import type { Envelope } from '../replication';
 import type { NodeInfo, NodeStatus } from './node';
+import type { PackedText } from './packed-text';
 import type { ClusterCommand, CommandOutcome } from './state-machine';
 import type { RetirementState, StoreView } from './view';
 
@@ -35,7 +36,7 @@
 export interface VersionedConfiguration {
   readonly version: number;
   /** Text as submitted by the operator. */
-  readonly text: string;
+  readonly text: PackedText;
 }
 
 /** Response of a replica to a call that only the leader can serve. */
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -1,4 +1,4 @@
-export { ClusterClient, type ClusterClientOptions } from './client';
+export { ClusterClient, type ClusterClientOptions, type ConfigurationText } from './client';
 export { LeaderConfirmation } from './leader-confirmation';
 export type { ClusterContract, RetirementOutcome, VersionedConfiguration } from './contract';
 export { NodeDirectory } from './directory';
@@ -8,6 +8,7 @@
 export { type ClusterCommand, ClusterStateMachine, type CommandOutcome } from './state-machine';
 export { ClusterStateCache, type ClusterStateCacheOptions } from './state-cache';
 export { ClusterReplica } from './replica';
+export { type PackedText, packText, packedLengthOf, unpackText } from './packed-text';
 export { LatestValue } from './latest-value';
 export type { KnownNode, NodeInfo, NodeKind, NodeStatus } from './node';
 export { ClusterService, type ReplicaComponents } from './service';
--- a/src/cluster/state-cache.ts
+++ b/src/cluster/state-cache.ts
@@ -3,13 +3,14 @@
 import type { RecordStore } from '../storage';
 import type { VersionedConfiguration } from './contract';
 import type { LatestValue } from './latest-value';
+import { packedTextSchema } from './packed-text';
 import { type StoreView, storeViewSchema } from './view';
 
 /** Characters of stored records above which the store is compacted to the newest of each kind. */
 const COMPACTION_THRESHOLD_CHARACTERS = 4 * 1024 * 1024;
 
 const recordSchema = z.union([
-  z.object({ configuration: z.object({ version: z.number(), text: z.string() }) }),
+  z.object({ configuration: z.object({ version: z.number(), text: packedTextSchema }) }),
   z.object({ view: storeViewSchema }),
 ]);
 
--- a/src/cluster/state-machine.ts
+++ b/src/cluster/state-machine.ts
@@ -1,12 +1,13 @@
 import * as z from 'zod';
 import type { StateMachine } from '../replication';
 import type { VersionedConfiguration } from './contract';
+import { type PackedText, packedTextSchema } from './packed-text';
 import { type RetirementState, type StoreView, storeViewSchema } from './view';
 
 const retirementStateSchema = z.enum(['running', 'completed']);
 
 const commandSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('configure'), version: z.number(), text: z.string() }),
+  z.object({ kind: z.literal('configure'), version: z.number(), text: packedTextSchema }),
   z.object({ kind: z.literal('view'), view: storeViewSchema }),
   z.object({ kind: z.literal('retire'), store: z.string(), state: retirementStateSchema }),
 ]);
@@ -18,7 +19,7 @@
 export type CommandOutcome = 'changed' | 'unchanged';
 
 const rowSchema = z.discriminatedUnion('table', [
-  z.object({ table: z.literal('configuration'), version: z.number(), text: z.string() }),
+  z.object({ table: z.literal('configuration'), version: z.number(), text: packedTextSchema }),
   z.object({ table: z.literal('view'), view: storeViewSchema }),
   z.object({ table: z.literal('retirement'), store: z.string(), state: retirementStateSchema }),
 ]);
@@ -92,7 +93,7 @@
     }
   }
 
-  #configure(version: number, text: string): boolean {
+  #configure(version: number, text: PackedText): boolean {
     if (this.#configuration !== undefined && version <= this.#configuration.version) return false;
     this.#configuration = { version, text };
     this.#options.onConfiguration(this.#configuration);
--- a/src/cluster/tests/large-configuration.test.ts
+++ b/src/cluster/tests/large-configuration.test.ts
@@ -63,6 +63,7 @@
   /** Sends a configuration as an operator does: again, through another gateway, until it is acknowledged. */
   async replace(version: number): Promise<Rollout> {
     const text = createText(version);
+    this.simulation.operator.recordSent(version, text);
     const startedAt = this.#now;
     let acknowledgedAt = Infinity;
     for (let attempt = 0; acknowledgedAt === Infinity && attempt < 20; attempt += 1) {
@@ -137,6 +138,10 @@
     expect(rollouts.map(({ lastAfter }) => lastAfter)).toEqual([0, 0, 0]);
   });
 
+  it('is the same everywhere', () => {
+    expect(run.simulation.violations).toEqual([]);
+  });
+
   it('leaves the leader in place', () => {
     expect(run.leaderChanges).toBe(0);
   });
--- a/src/cluster/tests/operator-log.ts
+++ b/src/cluster/tests/operator-log.ts
@@ -1,11 +1,18 @@
 import type { Clock } from '../../core';
-import type { VersionedConfiguration } from '..';
+import {
+  type ConfigurationText,
+  type PackedText,
+  type VersionedConfiguration,
+  packText,
+  packedLengthOf,
+} from '..';
 import type { SimulatedProcess } from './simulated-process';
 
 /** What an operator has sent, what was acknowledged, and what was read back. */
 export class OperatorLog {
   readonly #clock: Clock;
   readonly #onViolation: (violation: string) => void;
+  readonly #texts = new Map<number, PackedText>();
   #sent = 0;
   #acknowledged = 0;
   #read = 0;
@@ -30,11 +37,17 @@
     this.#read = 0;
   }
 
+  /** Records a configuration that is sent other than by {@link propose}. */
+  recordSent(version: number, text: string): void {
+    this.#texts.set(version, packText(text));
+  }
+
   /** Sends the next version through a process. */
   propose(process: SimulatedProcess): void {
     this.#sent += 1;
     const version = this.#sent;
-    process.client.propose({ kind: 'configure', version, text: textOf(version) }).then(
+    this.recordSent(version, textOf(version));
+    process.client.configure(version, textOf(version)).then(
       () => {
         if (process.isRunning) this.#recordAcknowledgement(version);
       },
@@ -63,10 +76,12 @@
   #recordRead(
     host: string,
     acknowledged: number,
-    configuration: VersionedConfiguration | undefined,
+    configuration: ConfigurationText | undefined,
   ): void {
     const version = configuration?.version ?? 0;
-    if (configuration !== undefined) this.check(host, configuration);
+    if (configuration !== undefined) {
+      this.check(host, { version, text: packText(configuration.text) });
+    }
     this.#read = Math.max(this.#read, version);
     if (version >= acknowledged) return;
     const now = this.#clock.monotonic();
@@ -75,11 +90,17 @@
 
   /** Checks that a configuration has the text sent under its version. */
   check(host: string, { version, text }: VersionedConfiguration): void {
-    if (version <= this.#sent && text === textOf(version)) return;
-    this.#onViolation(`${host} has another text of configuration ${version}: ${text}`);
+    const sent = this.#texts.get(version);
+    if (sent !== undefined && contentOf(sent) === contentOf(text)) return;
+    const characters = packedLengthOf(text);
+    this.#onViolation(`${host} has another configuration ${version}, of ${characters} characters`);
   }
 }
 
+function contentOf(packed: PackedText): string {
+  return typeof packed === 'string' ? packed : packed.deflated;
+}
+
 function textOf(version: number): string {
   return `text of ${version}`;
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type ClusterClient, LeaderConfirmation } from '../cluster';
+import { type ClusterClient, LeaderConfirmation, unpackText } from '../cluster';
 import {
   type Issue,
   LifeCycle,
@@ -201,7 +201,7 @@
     metrics,
   });
   configuration.onChange(({ version, text }) => {
-    const parsed = platform.parseConfiguration(text);
+    const parsed = platform.parseConfiguration(unpackText(text));
     if (parsed.kind === 'invalid') {
       const issues = parsed.issues.map(formatIssue);
       logger.error({ event: 'configuration-unreadable', version, issues });
