Processes fetch a configuration from one other at a time, and report it at once

Cause: each heartbeat answer that named a newer version began another fetch of the whole text, also while the leader's own message was on its way. A fetch now begins 0.2 s after the first report, and there is one at a time. A process that has a newer configuration tells the leader at once, not with its next heartbeat; the acknowledgement will wait for that.

Both tests failed before: 2 fetches in place of 0 after 0.15 s, no report.

--- a/src/cluster/heartbeat-sender.ts
+++ b/src/cluster/heartbeat-sender.ts
@@ -39,6 +39,12 @@
 
 const RESPONSE_TIMEOUT_MILLISECONDS = 1000;
 
+/**
+ * Time from the first report of a newer configuration until it is fetched; usually another process
+ * sends it before.
+ */
+const FETCH_DELAY_MILLISECONDS = 200;
+
 /** Time for which a leader reported by another process is used. */
 const LEADER_HINT_LIFETIME_MILLISECONDS = 3000;
 
@@ -71,9 +77,15 @@
   #leaderHintAt = -Infinity;
   /** Rounds sent so far; selects the next recipients in the rotation. */
   #round = 0;
+  #isFetching = false;
+  /** The newest configuration that another process has reported, and when it was first reported. */
+  #reported = { version: 0, at: -Infinity };
 
   constructor(options: HeartbeatSenderOptions) {
     this.#options = options;
+    options.configuration.onChange(() => {
+      this.#reportToLeader();
+    });
     this.#task = new PeriodicTask(options.clock, STARTUP_INTERVAL_MILLISECONDS, () => {
       options.confirmation?.recordActivity();
       this.#confirmAsLeader();
@@ -104,6 +116,12 @@
     this.#leaderHintAt = this.#options.clock.monotonic();
   }
 
+  /** An acknowledgement of the configuration waits until its leader knows that it is in force here. */
+  #reportToLeader(): void {
+    const address = this.leader?.address;
+    if (address !== undefined && address !== this.#options.self.address) void this.#sendTo(address);
+  }
+
   #confirmAsLeader(): void {
     const { clock, confirmation, isLeader } = this.#options;
     if (isLeader?.() === true) confirmation?.confirm(clock.monotonic());
@@ -194,17 +212,28 @@
     for (const node of response.nodes ?? []) directory.recordReport(node);
     this.recordLeaderHint(response.leader);
     if (response.configurationVersion > configuration.version) {
-      void this.#fetchConfiguration(address, response, requestedAt);
+      if (this.#isFetchDue(response.configurationVersion)) {
+        void this.#fetchConfiguration(address, response, requestedAt);
+      }
     } else if (response.confirms === true) confirmation?.confirm(requestedAt);
     if (response.viewEpoch > view.version) void this.#fetchView(address);
   }
 
+  #isFetchDue(version: number): boolean {
+    if (this.#isFetching) return false;
+    const now = this.#options.clock.monotonic();
+    if (version > this.#reported.version) this.#reported = { version, at: now };
+    return this.#isStarting || now - this.#reported.at >= FETCH_DELAY_MILLISECONDS;
+  }
+
+  /** One fetch at a time, so that the text does not come from several processes at once. */
   async #fetchConfiguration(
     address: string,
     { configurationVersion, confirms }: HeartbeatResponse,
     requestedAt: number,
   ): Promise<void> {
     const { peers, configuration, confirmation, logger } = this.#options;
+    this.#isFetching = true;
     try {
       const newer = await peers.call(
         address,
@@ -217,6 +246,8 @@
       if (confirms === true && isUpToDate) confirmation?.confirm(requestedAt);
     } catch (error) {
       logger.warn({ event: 'configuration-not-read', peer: address, error: messageOf(error) });
+    } finally {
+      this.#isFetching = false;
     }
   }
 
--- a/src/cluster/tests/heartbeat-sender.test.ts
+++ b/src/cluster/tests/heartbeat-sender.test.ts
@@ -130,4 +130,60 @@
     await new Promise((resolve) => setImmediate(resolve));
     expect([configuration.version, view.version]).toEqual([4, 3]);
   });
+
+  // Guards against a process that takes the same configuration from several others at once.
+  describe('of a process that serves by an older configuration', () => {
+    /** A process with version 3, among replicas that report version 4 and answer no fetch. */
+    function createOutdatedProcess() {
+      const clock = new ManualClock();
+      const configuration = new LatestValue<VersionedConfiguration>(({ version }) => version);
+      const view = new LatestValue<StoreView>(({ epoch }) => epoch);
+      configuration.offer({ version: 3, text: '' });
+      view.offer({ epoch: 1, members: [], quorum: 0 });
+      const leader = { name: 'replica-1', address: replica(1).address, term: 1 };
+      const calls: { readonly name: string; readonly address: string }[] = [];
+      const call = (address: string, name: string) => {
+        calls.push({ name, address });
+        if (name !== 'cluster.greet') return new Promise(() => undefined);
+        const node = replica(1);
+        return Promise.resolve({ node, leader, configurationVersion: 4, viewEpoch: 1 });
+      };
+      const sender = new HeartbeatSender({
+        self: replica(9),
+        status: () => ({ configurationVersion: 3, viewEpoch: 1, completeFor: 0 }),
+        seeds: () => [1, 2, 3].map((index) => replica(index).address),
+        ...{ directory: new NodeDirectory(clock), clock, configuration, view },
+        peers: { call } as unknown as RpcClient<ClusterContract>,
+        logger: createSilentLogger(),
+      });
+      const advance = async (milliseconds: number) => {
+        for (let elapsed = 0; elapsed < milliseconds; elapsed += 25) {
+          clock.advance(25);
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+      };
+      const count = (name: string) => calls.filter((sent) => sent.name === name).length;
+      return { sender, configuration, calls, advance, count, leader };
+    }
+
+    it('fetches a newer one only once it was not sent for a while, and from one process', async () => {
+      const { sender, advance, count } = createOutdatedProcess();
+      sender.start();
+      await advance(150);
+      expect(count('cluster.configuration')).toBe(0);
+      await advance(800);
+      expect(count('cluster.configuration')).toBe(1);
+      sender.stop();
+    });
+
+    it('tells the leader at once when a newer one is in force', async () => {
+      const { sender, configuration, advance, calls, leader } = createOutdatedProcess();
+      sender.start();
+      await advance(100);
+      calls.length = 0;
+      configuration.offer({ version: 4, text: '' });
+      expect(calls).toEqual([{ name: 'cluster.greet', address: leader.address }]);
+      sender.stop();
+    });
+  });
 });
