A configuration is acknowledged once the gateways in touch have it, and no link carries it to all

Cause: an acknowledgement waited for a quorum of replicas and for no gateway; the gateways got the text from one link, the leader's, behind which its heartbeats and appends waited.

Ruled out: that gateways refuse while they are behind; a gateway in touch is behind only before the acknowledgement now.

--- a/src/cluster/client.ts
+++ b/src/cluster/client.ts
@@ -29,8 +29,16 @@
 
 const RETRY_DELAY_MILLISECONDS = 60;
 
+/** Time for which the leader waits, in one call, until a configuration is in force. */
+const ROLLOUT_WAIT_MILLISECONDS = 300;
+
 type LeaderCallName =
-  'cluster.propose' | 'cluster.read' | 'cluster.retire' | 'cluster.retirement' | 'cluster.quotas';
+  | 'cluster.propose'
+  | 'cluster.inForce'
+  | 'cluster.read'
+  | 'cluster.retire'
+  | 'cluster.retirement'
+  | 'cluster.quotas';
 
 type Calls = ClusterContract['calls'];
 
@@ -65,9 +73,17 @@
     return this.#call('cluster.propose', command);
   }
 
-  /** Replaces the configuration; rejects with {@link ClusterUnavailableError}. */
-  configure(version: number, text: string): Promise<CommandOutcome> {
-    return this.propose({ kind: 'configure', version, text: packText(text) });
+  /**
+   * Replaces the configuration. Resolves once it is committed and in force at every gateway that the
+   * leader hears from; rejects with {@link ClusterUnavailableError}, after which it may be in force.
+   */
+  async configure(version: number, text: string): Promise<CommandOutcome> {
+    const deadline = this.#options.clock.monotonic() + CALL_TIMEOUT_MILLISECONDS;
+    const command = { kind: 'configure', version, text: packText(text) } as const;
+    const outcome: CommandOutcome = await this.#call('cluster.propose', command, deadline);
+    const rollout = { version, milliseconds: ROLLOUT_WAIT_MILLISECONDS };
+    await this.#call<'cluster.inForce', true>('cluster.inForce', rollout, deadline);
+    return outcome;
   }
 
   /** Linearizable read of the configuration; rejects with {@link ClusterUnavailableError}. */
@@ -93,13 +109,13 @@
   async #call<Name extends LeaderCallName, Value>(
     name: Name & CallName<ClusterContract>,
     request: Calls[Name]['request'],
+    deadline = this.#options.clock.monotonic() + CALL_TIMEOUT_MILLISECONDS,
   ): Promise<Value> {
     const { clock, heartbeatSender } = this.#options;
-    const deadline = clock.monotonic() + CALL_TIMEOUT_MILLISECONDS;
     let reason = 'no leader of the cluster state is known';
     let hint: LeaderHint | undefined;
     let attempt = 0;
-    while (clock.monotonic() < deadline) {
+    do {
       const address =
         hint?.address ?? heartbeatSender.leader?.address ?? this.#nextReplica(attempt);
       attempt += 1;
@@ -114,7 +130,7 @@
         if (hint !== undefined) continue;
       }
       await delay(clock, RETRY_DELAY_MILLISECONDS);
-    }
+    } while (clock.monotonic() < deadline);
     throw new ClusterUnavailableError(reason);
   }
 
--- a/src/cluster/contract.ts
+++ b/src/cluster/contract.ts
@@ -39,6 +39,12 @@
   readonly text: PackedText;
 }
 
+export interface RolloutRequest {
+  readonly version: number;
+  /** Time to wait. */
+  readonly milliseconds: number;
+}
+
 /** Response of a replica to a call that only the leader can serve. */
 export type LeaderAnswer<Value> =
   | { readonly kind: 'done'; readonly value: Value }
@@ -63,6 +69,11 @@
       readonly request: ClusterCommand;
       readonly answer: LeaderAnswer<CommandOutcome>;
     };
+    /** Waits until a committed version is in force at every gateway that the leader hears from. */
+    readonly 'cluster.inForce': {
+      readonly request: RolloutRequest;
+      readonly answer: LeaderAnswer<true>;
+    };
     readonly 'cluster.read': {
       readonly request: null;
       readonly answer: LeaderAnswer<VersionedConfiguration | undefined>;
--- a/src/cluster/replica.ts
+++ b/src/cluster/replica.ts
@@ -99,6 +99,11 @@
     return this.#log.term === 0 && this.#log.membership.voters.length === 0;
   }
 
+  /** Names of the hosts that receive the log. */
+  get memberHosts(): readonly string[] {
+    return allMembers(this.#log.membership).map(hostNameOf);
+  }
+
   /** Valid only while it {@link serves}. */
   get leadership(): Leadership {
     const { term, leaderSince } = this.#log;
--- a/src/cluster/service.ts
+++ b/src/cluster/service.ts
@@ -6,14 +6,19 @@
   ClusterContract,
   HeartbeatResponse,
   HeartbeatRequest,
+  LeaderAnswer,
+  RolloutRequest,
   VersionedConfiguration,
 } from './contract';
 import type { NodeDirectory } from './directory';
 import type { ClusterBootstrap } from './bootstrap';
+import { ConfigurationRelay } from './configuration-relay';
 import type { HeartbeatSender } from './heartbeat-sender';
 import type { ClusterReplica } from './replica';
 import type { LatestValue } from './latest-value';
 import type { NodeInfo, NodeStatus } from './node';
+import { packedLengthOf } from './packed-text';
+import { RolloutMonitor } from './rollout-monitor';
 import type { StoreView } from './view';
 import type { ViewController } from './view-controller';
 
@@ -46,6 +51,8 @@
 export class ClusterService implements Component {
   readonly #options: ClusterServiceOptions;
   readonly #bootstrapTask: PeriodicTask;
+  readonly #relay: ConfigurationRelay | undefined;
+  readonly #rollout: RolloutMonitor | undefined;
 
   constructor(options: ClusterServiceOptions) {
     this.#options = options;
@@ -54,12 +61,28 @@
       this.#requestBootstrap(),
     );
     configuration.onChange((value) => {
-      logger.info({ event: 'configuration-in-force', version: value.version });
-      if (replicaComponents?.replica.serves === true) this.#broadcast('cluster.configured', value);
+      const { version, text } = value;
+      logger.info({
+        event: 'configuration-in-force',
+        version,
+        sentCharacters: packedLengthOf(text),
+      });
+      this.#relay?.send(value);
     });
     view.onChange((value) => {
       logger.info({ event: 'stores-in-use', ...value });
-      if (replicaComponents?.replica.serves === true) this.#broadcast('cluster.viewed', value);
+      if (replicaComponents?.replica.serves === true) this.#broadcastView(value);
+    });
+    if (replicaComponents === undefined) return;
+    const { replica } = replicaComponents;
+    this.#rollout = new RolloutMonitor({
+      ...options,
+      leaderSince: () => replica.leadership.since,
+    });
+    this.#relay = new ConfigurationRelay({
+      ...options,
+      isLeader: () => replica.serves,
+      memberHosts: () => replica.memberHosts,
     });
   }
 
@@ -78,6 +101,7 @@
     const { replica, viewController } = replicaComponents;
     return {
       'cluster.propose': (command) => replica.propose(command),
+      'cluster.inForce': (request) => this.#waitUntilInForce(replica, request),
       'cluster.read': () => replica.read(() => replica.stateMachine.configuration),
       'cluster.retire': (store) => viewController.retire(store),
       'cluster.retirement': (store) => viewController.retirement(store),
@@ -129,21 +153,24 @@
     };
   }
 
-  /** Sends a change to all known processes; one that misses it catches up at its next heartbeat. */
-  #broadcast(name: 'cluster.configured', value: VersionedConfiguration): void;
-  #broadcast(name: 'cluster.viewed', value: StoreView): void;
-  #broadcast(
-    name: 'cluster.configured' | 'cluster.viewed',
-    value: VersionedConfiguration | StoreView,
-  ): void {
+  async #waitUntilInForce(
+    replica: ClusterReplica,
+    { version, milliseconds }: RolloutRequest,
+  ): Promise<LeaderAnswer<true>> {
+    const leadership = replica.read(() => true as const);
+    if (leadership.kind !== 'done' || this.#rollout === undefined) return leadership;
+    const state = await this.#rollout.waitFor(version, milliseconds);
+    if (state.kind === 'complete') return replica.read(() => true as const);
+    this.#options.logger.info({ event: 'configuration-awaited', version, ...state });
+    const where = state.kind === 'incomplete' ? state.gateways.join(', ') : 'some gateways';
+    return { kind: 'not-now', reason: `configuration ${version} is not in force at ${where} yet` };
+  }
+
+  /** Sends a view to all known processes; one that misses it catches up at its next heartbeat. */
+  #broadcastView(value: StoreView): void {
     const { directory, peers, self } = this.#options;
     for (const { node } of directory.all()) {
-      if (node.name === self.name) continue;
-      if (name === 'cluster.configured') {
-        peers.cast(node.address, name, value as VersionedConfiguration);
-      } else {
-        peers.cast(node.address, name, value as StoreView);
-      }
+      if (node.name !== self.name) peers.cast(node.address, 'cluster.viewed', value);
     }
   }
 
--- a/src/cluster/tests/client.test.ts
+++ b/src/cluster/tests/client.test.ts
@@ -18,8 +18,10 @@
 
 type Answer = LeaderAnswer<unknown> | Error;
 
-/** Proposes a change; each call of a leader takes the next answer, the last one again and again. */
-async function propose(answers: readonly Answer[]) {
+type Method = 'propose' | 'configure';
+
+/** Makes a change; each call of a leader takes the next answer, the last one again and again. */
+async function propose(answers: readonly Answer[], method: Method = 'propose') {
   const clock = new ManualClock();
   const called: string[] = [];
   const peers = {
@@ -42,7 +44,11 @@
     localLeaderCalls: undefined,
   });
   let outcome: unknown;
-  client.propose({ kind: 'configure', version: 1, text: '' }).then(
+  const change =
+    method === 'configure'
+      ? client.configure(1, '')
+      : client.propose({ kind: 'configure', version: 1, text: '' });
+  change.then(
     (value) => (outcome = value),
     (error: unknown) => (outcome = error),
   );
@@ -81,3 +87,21 @@
     }
   });
 });
+
+// Guards against a change that is acknowledged before it is in force at the gateways.
+describe('ClusterClient.configure', () => {
+  const committed = { kind: 'done', value: 'changed' } as const;
+  const notInForce = { kind: 'not-now', reason: 'not in force at gateway-3 yet' } as const;
+
+  it('resolves once the change is committed and in force', async () => {
+    const inForce = { kind: 'done', value: true } as const;
+    const { outcome, called } = await propose([committed, notInForce, inForce], 'configure');
+    expect([outcome, called.length]).toEqual(['changed', 3]);
+  });
+
+  it('rejects with the reason if it is not in force in time', async () => {
+    const { outcome } = await propose([committed, notInForce], 'configure');
+    expect(outcome).toBeInstanceOf(ClusterUnavailableError);
+    expect(String(outcome)).toContain('not in force at gateway-3');
+  });
+});
--- a/src/cluster/tests/cluster-simulation.ts
+++ b/src/cluster/tests/cluster-simulation.ts
@@ -8,6 +8,7 @@
   CATCH_UP_MILLISECONDS,
   type SimulatedHost,
   createDisk,
+  isInTouch,
   newLossesOf,
   trackCatchUp,
 } from './simulated-host';
@@ -29,6 +30,12 @@
 
 const RESTART_MILLISECONDS = 300;
 
+/** Time after its acknowledgement in which a configuration is in force at every host in touch. */
+const IN_FORCE_MILLISECONDS = 2000;
+
+/** Time without disturbance after which a host is in touch. */
+const CONTACT_MILLISECONDS = 4000;
+
 const SLOW_DISK_FRACTION = 0.1;
 
 export interface ClusterSimulationOptions {
@@ -60,6 +67,7 @@
   readonly #views = new Map<number, string>();
   #addresses = 0;
   #nextReadAt = 0;
+  #calmMilliseconds = 0;
 
   constructor(options: ClusterSimulationOptions) {
     const { seed, replicas, createLogger = createSilentLogger, bytesPerMillisecond } = options;
@@ -159,6 +167,7 @@
 
   startProcess(host: SimulatedHost, isFirstStart = false): void {
     if (host.process !== undefined || host.isRemoved) return;
+    this.#calmMilliseconds = 0;
     const { name, kind, address, disk } = host;
     const process = new SimulatedProcess({
       node: { name, kind, address, availabilityZone: name },
@@ -271,6 +280,7 @@
     this.#readIfDue();
     this.#checkInvariants();
     trackCatchUp(this.hosts, this.network.lossFraction === 0, STEP_MILLISECONDS);
+    this.#trackCalm();
   }
 
   /** Reads through a random gateway at a fixed interval. */
@@ -292,11 +302,28 @@
       this.violations.push(`more than one process serves as the leader: ${names}`);
     }
     for (const { host, view, configuration } of running) {
+      this.#checkInForce(host, configuration.version);
       if (configuration.value !== undefined) this.operator.check(host, configuration.value);
       if (view.value !== undefined) this.#checkView(host, view.version, JSON.stringify(view.value));
     }
   }
 
+  /** Counts the time for which no host with a replica, and no link, has been disturbed. */
+  #trackCalm(): void {
+    const isCalm =
+      this.network.lossFraction === 0 &&
+      this.hosts.every((host) => host.isRemoved || (isInTouch(host) && !host.isRestarting));
+    this.#calmMilliseconds = isCalm ? this.#calmMilliseconds + STEP_MILLISECONDS : 0;
+  }
+
+  #checkInForce(host: string, version: number): void {
+    if (this.#calmMilliseconds < CONTACT_MILLISECONDS) return;
+    const acknowledged = this.operator.acknowledgedFor(IN_FORCE_MILLISECONDS);
+    if (version >= acknowledged) return;
+    const now = this.clock.monotonic();
+    this.violations.push(`${now} ms: ${host} has ${version} long after ${acknowledged}`);
+  }
+
   #checkView(host: string, epoch: number, text: string): void {
     const known = this.#views.get(epoch);
     if (known === undefined) this.#views.set(epoch, text);
--- a/src/cluster/tests/operator-log.ts
+++ b/src/cluster/tests/operator-log.ts
@@ -13,6 +13,8 @@
   readonly #clock: Clock;
   readonly #onViolation: (violation: string) => void;
   readonly #texts = new Map<number, PackedText>();
+  /** Acknowledged versions above all earlier ones, with their times. */
+  readonly #acknowledgements: { readonly version: number; readonly at: number }[] = [];
   #sent = 0;
   #acknowledged = 0;
   #read = 0;
@@ -28,6 +30,12 @@
     return this.#acknowledged;
   }
 
+  /** Newest version that was acknowledged at least `milliseconds` ago. */
+  acknowledgedFor(milliseconds: number): number {
+    const before = this.#clock.monotonic() - milliseconds;
+    return this.#acknowledgements.findLast(({ at }) => at <= before)?.version ?? 0;
+  }
+
   /** Newest version read since {@link forgetReads}. */
   get newestRead(): number {
     return this.#read;
@@ -56,6 +64,9 @@
   }
 
   #recordAcknowledgement(version: number): void {
+    if (version > this.#acknowledged) {
+      this.#acknowledgements.push({ version, at: this.#clock.monotonic() });
+    }
     this.#acknowledged = Math.max(this.#acknowledged, version);
     const action = this.onNextAcknowledgement;
     this.onNextAcknowledgement = undefined;
--- a/src/cluster/tests/service.test.ts
+++ b/src/cluster/tests/service.test.ts
@@ -51,6 +51,8 @@
   const replica = {
     serves: isLeader,
     leader: undefined,
+    leadership: { term: 1, since: 0 },
+    memberHosts: [],
     stateMachine: { configuration: { version: 3, text: 'committed' } },
     read: (read: () => unknown) =>
       isLeader ? { kind: 'done', value: read() } : { kind: 'not-leader', leader: undefined },
--- a/src/cluster/tests/simulated-host.ts
+++ b/src/cluster/tests/simulated-host.ts
@@ -40,7 +40,7 @@
   return lostMilliseconds > 0 && !isSuccessor ? 0 : 1;
 }
 
-function isInTouch({ process, isStopping, slowDisk, cuts }: SimulatedHost): boolean {
+export function isInTouch({ process, isStopping, slowDisk, cuts }: SimulatedHost): boolean {
   return process?.isSuspended === false && !isStopping && !slowDisk && cuts === 0;
 }
 
