A request whose caller left is recorded, in case its target ends

Callers saw targets end one after the other under a request that its caller gave up each time just before (rule BUDGET).

Cause: the gateway closes the connection itself when the caller leaves, so the end of the target was no loss, and nothing was recorded below 0.5 s of silence.

--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -74,7 +74,7 @@
 
   #recordCrash(
     state: TargetState,
-    { crashes }: SendRequest,
+    { crashes, exchange }: SendRequest,
     outcome: AttemptOutcome,
     sentAt: number,
   ): void {
@@ -84,7 +84,9 @@
         crashes.recordLostConnection(state);
         return;
       case 'given-up':
-        if (outcome.sent && !outcome.began && this.#isSilent(sentAt)) crashes.recordSilence(state);
+        if (!outcome.sent || outcome.began) return;
+        if (this.#isSilent(sentAt)) crashes.recordSilence(state);
+        else if (exchange.hasDisconnected()) crashes.recordAbandoned(state);
         return;
       case 'not-run':
         if (outcome.status === MISDIRECTED_REQUEST_STATUS) crashes.recordAddressReused(state);
