--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,6 +34,8 @@
   /** Time from arrival to the start of a target's response. */
   #firstByteMilliseconds: number | undefined;
   #route: Route | undefined;
+  /** Version of the configuration that has the route. */
+  configurationVersion: number | undefined;
   /** Undefined for callers without a key. */
   team: Team | undefined;
   /** Whether the caller's key is removed from requests to targets. */
@@ -184,6 +186,7 @@
       programMilliseconds: this.head.programMilliseconds,
       route: this.#route?.name,
       kind: this.#route?.kind,
+      configuration: this.configurationVersion,
       outcome,
       ...details,
       milliseconds: Math.round(milliseconds),
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -139,6 +139,7 @@
     }
     const { route, table } = lookup;
     exchange.route = route;
+    exchange.configurationVersion = table.configuration.version;
     const { turnHandler, keyGuard } = this.#options;
     const refusal = await keyGuard.admit(exchange, route);
     if (refusal !== undefined) {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -214,6 +214,7 @@
     metrics,
   });
   configuration.onChange(({ version, text }) => {
+    const startedAt = clock.monotonic();
     const parsed = platform.parseConfiguration(unpackText(text));
     if (parsed.kind === 'invalid') {
       const issues = parsed.issues.map(formatIssue);
@@ -222,6 +223,12 @@
     }
     table = new RouteTable(parsed.configuration);
     server.applyLimits(parsed.configuration.limits);
+    logger.info({
+      event: 'configuration-applied',
+      version,
+      routes: parsed.configuration.routes.length,
+      milliseconds: Math.round(clock.monotonic() - startedAt),
+    });
   });
 
   const lifeCycle = new LifeCycle();
--- a/src/nodes/node-context.ts
+++ b/src/nodes/node-context.ts
@@ -78,6 +78,8 @@
     });
     this.peers = new PeerConnections<SystemContract>({ clock, logger: this.logger });
     this.directory = new NodeDirectory(clock);
+    this.metrics.gauge('peer_queued_bytes', () => this.peers.queuedBytes);
+    this.metrics.gauge('configuration_version', () => this.configuration.version);
   }
 
   /** RPC addresses of the seeds; the RPC port is the same on all hosts. */
--- a/src/rpc/peer-connection.ts
+++ b/src/rpc/peer-connection.ts
@@ -76,6 +76,11 @@
     return this.#connected;
   }
 
+  /** Bytes that the peer has not taken yet. */
+  get queuedBytes(): number {
+    return this.#socket?.writableLength ?? 0;
+  }
+
   /** Rejects with an {@link RpcError}, after `milliseconds` at the latest. */
   call(method: string, body: unknown, milliseconds: number): Promise<unknown> {
     return new Promise((resolve, reject) => {
--- a/src/rpc/peer-connections.ts
+++ b/src/rpc/peer-connections.ts
@@ -44,6 +44,11 @@
     return this.#connections.get(address)?.connected ?? false;
   }
 
+  /** Bytes that wait to be sent, over all connections. */
+  get queuedBytes(): number {
+    return [...this.#connections.values()].reduce((sum, { queuedBytes }) => sum + queuedBytes, 0);
+  }
+
   /** Closes the connections to all other addresses. */
   retain(addresses: ReadonlySet<string>): void {
     for (const [address, connection] of this.#connections) {
