--- a/src/cluster/tests/service.test.ts
+++ b/src/cluster/tests/service.test.ts
@@ -57,6 +57,10 @@
     read: (read: () => unknown) =>
       isLeader ? { kind: 'done', value: read() } : { kind: 'not-leader', leader: undefined },
   };
+  clock.advance(1000);
+  const report = (configurationVersion: number) => {
+    directory.recordHeartbeat(OTHER, { ...STATUS, configurationVersion });
+  };
   const service = new ClusterService({
     self: SELF,
     status: () => STATUS,
@@ -73,7 +77,7 @@
     view,
     replicaComponents: { replica, viewController: {} } as unknown as ReplicaComponents,
   });
-  return { service, configuration, view, sent };
+  return { service, configuration, view, sent, report };
 }
 
 function greet(service: ClusterService) {
@@ -92,6 +96,18 @@
       expect(answer).toEqual({ kind: 'done', value: { version: 3, text: 'committed' } });
     });
 
+    it('does not say that a configuration is in force while a gateway in touch has an older one', async () => {
+      const { service, report } = createService(true);
+      const ask = () => service.calls['cluster.inForce']?.({ version: 3, milliseconds: 0 });
+      report(2);
+      expect(await ask()).toEqual({
+        kind: 'not-now',
+        reason: `configuration 3 is not in force at ${OTHER.name} yet`,
+      });
+      report(3);
+      expect(await ask()).toEqual({ kind: 'done', value: true });
+    });
+
     it('sends a new configuration and a new view to the processes that it knows', () => {
       const { configuration, view, sent } = createService(true);
       configuration.offer({ version: 4, text: '' });
@@ -104,6 +120,12 @@
   });
 
   describe('of a process that does not lead', () => {
+    it('does not say what is in force', async () => {
+      const { service } = createService(false);
+      const answer = await service.calls['cluster.inForce']?.({ version: 3, milliseconds: 0 });
+      expect(answer).toMatchObject({ kind: 'not-leader' });
+    });
+
     it('confirms no heartbeat and reads no configuration', async () => {
       const { service, configuration } = createService(false);
       configuration.offer({ version: 2, text: 'cached' });
