--- a/src/rpc/tests/rpc.test.ts
+++ b/src/rpc/tests/rpc.test.ts
@@ -20,6 +20,8 @@
 
 const LOGGER = createSilentLogger();
 
+const PART_BYTES = 1024 * 1024;
+
 async function startRpcServer(address: Address, note: (text: string) => void) {
   const rpcServer = new RpcServer<TestContract>({
     address,
@@ -237,6 +239,29 @@
       expect(connection.connected).toBe(true);
     });
 
+    it('is kept while its peer reads what is queued, and given up once it does not', async () => {
+      const turnEventLoop = () => new Promise((resolve) => setImmediate(resolve));
+      peer.stopReading();
+      connection.call('double', 1, 60_000).catch(() => undefined);
+      while (connection.queuedBytes < 4 * PART_BYTES) {
+        connection.cast('note', Buffer.alloc(PART_BYTES));
+        await turnEventLoop();
+      }
+      clock.advance(1000);
+      const queuedBytes = connection.queuedBytes;
+      peer.startReading();
+      while (connection.queuedBytes >= queuedBytes) await turnEventLoop();
+      peer.stopReading();
+      clock.advance(1000);
+      expect(connection.connected).toBe(true);
+      while (connection.queuedBytes === 0) {
+        connection.cast('note', Buffer.alloc(PART_BYTES));
+        await turnEventLoop();
+      }
+      clock.advance(3500);
+      expect(connection.connected).toBe(false);
+    });
+
     it('is given up if the keepalive is not answered', async () => {
       const cast = connection.castConfirmed('note', 'never read');
       const lost = expect(cast).rejects.toMatchObject({ failure: 'lost' });
--- a/src/rpc/tests/silent-peer.ts
+++ b/src/rpc/tests/silent-peer.ts
@@ -41,6 +41,15 @@
     });
   }
 
+  /** Leaves what arrives unread. */
+  stopReading(): void {
+    for (const socket of this.#sockets) socket.pause();
+  }
+
+  startReading(): void {
+    for (const socket of this.#sockets) socket.resume();
+  }
+
   answerAll(): void {
     for (const answer of this.#unanswered.splice(0)) answer();
   }
