--- a/src/crashes/tests/crash-schedule.test.ts
+++ b/src/crashes/tests/crash-schedule.test.ts
@@ -74,35 +74,30 @@
   isOrderly: fc.constant(false),
 });
 
+/** Asserts that requests which end targets are stopped at the limit, and no others. */
+async function assertStoppedAtLimit(schedules: fc.Arbitrary<CrashSchedule>): Promise<void> {
+  const property = fc.asyncProperty(schedules, async (schedule) => {
+    const report = await new CrashScheduleRun(schedule).run();
+    expect(stoppedTooLate(report)).toEqual([]);
+    expect(stoppedTooEarly(report)).toEqual([]);
+    expect(report.sharedReads.stopped).toBe(0);
+  });
+  await fc.assert(property, { numRuns: RUNS, seed: SEED, endOnFailure: true });
+}
+
 // Guards against requests that end one target after the other through several gateways, and against
 // the opposite, requests that are stopped because targets end beside them or reset their connections.
 // fast-check prints seed and path of a failure; pass them to `fc.assert` to replay it.
 describe('requests under which targets end, at several gateways', () => {
   it(
     'are stopped at the limit while gateways are killed one at a time',
-    async () => {
-      const property = fc.asyncProperty(orderlySchedule, async (schedule) => {
-        const report = await new CrashScheduleRun(schedule).run();
-        expect(stoppedTooLate(report)).toEqual([]);
-        expect(stoppedTooEarly(report)).toEqual([]);
-        expect(report.sharedReads.stopped).toBe(0);
-      });
-      await fc.assert(property, { numRuns: RUNS, seed: SEED, endOnFailure: true });
-    },
+    () => assertStoppedAtLimit(orderlySchedule),
     TEST_TIMEOUT_MILLISECONDS,
   );
 
   it(
     'are stopped at the limit if targets are back at once, or stop listening late',
-    async () => {
-      const property = fc.asyncProperty(hiddenEndsSchedule, async (schedule) => {
-        const report = await new CrashScheduleRun(schedule).run();
-        expect(stoppedTooLate(report)).toEqual([]);
-        expect(stoppedTooEarly(report)).toEqual([]);
-        expect(report.sharedReads.stopped).toBe(0);
-      });
-      await fc.assert(property, { numRuns: RUNS, seed: SEED, endOnFailure: true });
-    },
+    () => assertStoppedAtLimit(hiddenEndsSchedule),
     TEST_TIMEOUT_MILLISECONDS,
   );
 
