Processes log why they fail, and report how their former lifetime ended

Change: `process-failed` with the error and its stack, written before the exit; a small file in the data folder tells the next lifetime how this one ended, in `started` (formerLifetime) and the gauge former_lifetime{end}. The exits themselves are as before.

--- a/src/nodes/node-context.ts
+++ b/src/nodes/node-context.ts
@@ -47,7 +47,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Ends the process after an unrecoverable failure, which the caller has logged. */
-  readonly onFailure: () => void;
+  readonly onFailure: (error: unknown) => void;
 }
 
 /** Dependencies shared by the components of a process, and factories for those of the cluster. */
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -9,6 +9,7 @@
 } from '../core';
 import { loadSettings } from '../settings/load';
 import { type NodeSettings, nodeSettingsSchema } from './node-settings';
+import { FORMER_LIFETIME_ENDS, LifetimeRecord } from './lifetime-record';
 import type { NodeContext, NodeContextOptions } from './node-context';
 import { ReloadableSettings } from './reloadable-settings';
 
@@ -38,14 +39,27 @@
     currentSettings: () => reloadableSettings.current,
     clock,
     random: new SystemRandom(),
-    onFailure: () => {
+    onFailure: (error) => {
       clock.after(FAILURE_EXIT_DELAY_MILLISECONDS, () => {
-        node.context.logOutput.stop();
-        process.exit(EXIT_CODES.failed);
+        fail(error);
       });
     },
   });
-  const { logger } = node.context;
+  const { logger, metrics } = node.context;
+  const lifetime = new LifetimeRecord({ dataFolder: settings.node['data-folder'], logger });
+  for (const end of FORMER_LIFETIME_ENDS) {
+    metrics.gauge(`former_lifetime{end="${end}"}`, () => Number(lifetime.former.end === end));
+  }
+  lifetime.recordRunning();
+  const fail = (error: unknown) => {
+    const stack = error instanceof Error ? error.stack : undefined;
+    logger.fatal({ event: 'process-failed', error: messageOf(error), stack });
+    lifetime.recordFailed(messageOf(error));
+    node.context.logOutput.stop();
+    process.exit(EXIT_CODES.failed);
+  };
+  process.on('uncaughtException', fail);
+  process.on('unhandledRejection', fail);
   reloadableSettings.setLogger(logger);
   reloadableSettings.onReload(({ node: { 'log-level': level } }) => {
     logger.level = level;
@@ -54,29 +68,31 @@
   process.on('SIGHUP', () => {
     reloadableSettings.reload('SIGHUP');
   });
-  const stopSignals = new StopSignals((signal) => void stop(node, signal));
+  const stopSignals = new StopSignals((signal) => void stop(node, signal, lifetime));
   try {
     await node.lifeCycle.start();
   } catch (error) {
     logger.fatal({ event: 'start-failed', error: messageOf(error) });
-    node.context.logOutput.stop();
-    process.exit(EXIT_CODES.failed);
+    fail(error);
   }
+  lifetime.recordRunning();
   const { 'first-start': firstStart, seeds } = settings.node;
-  logger.info({ event: 'started', firstStart, seeds });
+  logger.info({ event: 'started', firstStart, seeds, formerLifetime: lifetime.former });
   stopSignals.enable();
 }
 
-async function stop(node: RunnableNode, signal: string): Promise<void> {
+async function stop(node: RunnableNode, signal: string, lifetime: LifetimeRecord): Promise<void> {
   const { logger } = node.context;
   logger.info({ event: 'stopping', signal });
   try {
     await node.drain?.();
     logger.info({ event: 'stopped' });
     await node.lifeCycle.stop();
+    lifetime.recordStopped();
     process.exit(EXIT_CODES.stopped);
   } catch (error) {
     logger.fatal({ event: 'stop-failed', error: messageOf(error) });
+    lifetime.recordFailed(messageOf(error));
     node.context.logOutput.stop();
     process.exit(EXIT_CODES.failed);
   }
--- a/src/nodes/store-node.ts
+++ b/src/nodes/store-node.ts
@@ -11,7 +11,7 @@
   const { clock, random, logger, metrics, view, configuration, peers } = context;
   const journal = new TurnJournal(context.openStore('turns'), random, (error) => {
     logger.fatal({ event: 'storage-failed', error: messageOf(error) });
-    options.onFailure();
+    options.onFailure(error);
   });
   await journal.open();
   const self = context.describeSelf(false, journal.dataLife);
--- a/src/nodes/tests/run.test.ts
+++ b/src/nodes/tests/run.test.ts
@@ -1,7 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { LifeCycle } from '../../core';
+import { LifeCycle, Metrics } from '../../core';
 import { collectLog } from '../../core/tests/collected-log';
 import { runNode } from '..';
 import type { NodeContext } from '../node-context';
@@ -59,7 +59,8 @@
           events.push('stopped');
         },
       });
-      const context = { logger: collectLog().logger, logOutput: { stop: () => undefined } };
+      const { logger } = collectLog();
+      const context = { logger, metrics: new Metrics(), logOutput: { stop: () => undefined } };
       return {
         context: context as unknown as NodeContext,
         lifeCycle,
