--- a/src/gateway/tests/attempt.test.ts
+++ b/src/gateway/tests/attempt.test.ts
@@ -49,15 +49,16 @@
 
   afterEach(() => lifeCycle.stop());
 
-  /** Runs an attempt that is paused at its first piece; the target then ends the response. */
-  const runPaused = async (script: ScriptedResponse): Promise<AttemptOutcome> => {
+  /** Creates an attempt that is paused at its first piece; the target then ends the response. */
+  const preparePaused = (script: ScriptedResponse) => {
     let onPaused = (): void => undefined;
     const beforeEnding = new Promise<void>((resolve) => {
       onPaused = resolve;
     });
     target.scripts.push({ ...script, beforeEnding });
+    const connection = connections.acquire(state);
     const attempt = new Attempt({
-      connection: connections.acquire(state),
+      connection,
       ...REQUEST,
       receiver: {
         begin: () => undefined,
@@ -67,15 +68,30 @@
         },
       },
     });
-    return attempt.run();
+    return { attempt, connection };
   };
 
+  const runPaused = (script: ScriptedResponse): Promise<AttemptOutcome> =>
+    preparePaused(script).attempt.run();
+
   it('ends when the target resets the connection', async () => {
     for (const framing of ['connection', 'chunked', 'length'] as const) {
       const script = { framing, body: ['data: a\n\n'], ending: 'reset' } as const;
       expect([framing, await runPaused(script)]).toMatchObject([framing, { kind: 'unknown' }]);
     }
   });
+
+  it.each(['connection', 'length'] as const)(
+    'has the whole response, delimited by its %s, when the target closes the connection meanwhile',
+    async (framing) => {
+      const script = { framing, body: ['data: a\n\n'], ending: 'complete', closes: true } as const;
+      const { attempt, connection } = preparePaused(script);
+      const outcome = attempt.run();
+      while (connection.ending() === 'open') await new Promise((resolve) => setImmediate(resolve));
+      attempt.resume();
+      expect(await outcome).toEqual({ kind: 'streamed' });
+    },
+  );
 });
 
 // Guards against a second run: a request that is reported as unsent is sent to another target.
--- a/tests/crowds/crowd-system.ts
+++ b/tests/crowds/crowd-system.ts
@@ -1,11 +1,11 @@
-import { readFileSync } from 'node:fs';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { parse, stringify } from 'smol-toml';
+import { stringify } from 'smol-toml';
 import { type Address, SystemClock, delay, formatAddress } from '../../src/core';
 import { findFreeAddresses } from '../../src/local';
+import { deployedCommand } from '../../platform/tests/deployed-command';
 import { FakeInstanceList, FakeTarget } from '../../platform/tests/fake-platform';
 import { ObservedProcess } from './observed-process';
 
@@ -163,7 +163,11 @@
       'target-list': { address: formatAddress(list), 'calls-per-second': 40 },
     };
     await writeFile(file, stringify(settings));
-    const observed = new ObservedProcess(role, [`MARTENBAY_NODE_FILE=${file}`], commandOf(role));
+    const observed = new ObservedProcess(
+      role,
+      [`MARTENBAY_NODE_FILE=${file}`],
+      deployedCommand(role),
+    );
     await observed.process.waitForLog(({ event }) => event === 'started');
     return observed;
   }
@@ -192,15 +196,6 @@
   }
 }
 
-/** The command of a role in the deploy file, with the bundles of `npm run build`. */
-function commandOf(role: string): readonly string[] {
-  const { roles } = parse(readFileSync('deploy/system.toml', 'utf8')) as {
-    readonly roles: Readonly<Record<string, { readonly run: string }>>;
-  };
-  const { run = '' } = roles[role] ?? {};
-  return run.replace('target/', 'dist/').split(' ');
-}
-
 /** Processes of one system have the same RPC port on different addresses. */
 async function assignAddresses(): Promise<Addresses> {
   const names = [
