Signals have handlers from a program's first statement on

Callers saw: processes ended by SIGHUP, SIGTERM or SIGINT while they started, without a line. The same held for entry, control, sidecar and local, which did not handle SIGHUP at all. Own programs say that they don't read their settings again. The settings' time is read before they are, so that a change in between is not missed.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,9 @@
   { name: 'bench', entry: 'bench/main.ts' },
 ];
 
+/** Binaries that load their program, `NAME-program`, once signals have handlers. */
+const LOADERS = ['martenbay-entry', 'martenbay-control', 'martenbay-sidecar', 'martenbay-local'];
+
 /** Binaries that run on the users' platform. */
 const PLATFORM_BINARIES = [
   { name: 'platform-gateway', entry: 'platform/gateway.ts' },
@@ -40,29 +43,51 @@
   },
 };
 
+/** Leaves the program of a loader out of the loader's bundle; it is a bundle of its own. */
+const withSeparateProgram = (program) => ({
+  name: 'separate-program',
+  setup({ onResolve }) {
+    onResolve({ filter: /-program$/ }, () => ({ path: `./${program}.cjs`, external: true }));
+  },
+});
+
 // The default folder dist/ gets all binaries, any other one only those of the platform.
 const folder = process.argv[2] ?? 'dist';
 const binaries = folder === 'dist' ? [...BINARIES, ...PLATFORM_BINARIES] : PLATFORM_BINARIES;
+const loaders = new Set([...LOADERS, ...PLATFORM_BINARIES.map(({ name }) => name)]);
 
-await rm(folder, { recursive: true, force: true });
-await Promise.all(
-  binaries.map(async ({ name, entry, flags }) => {
-    const outfile = `${folder}/${name}.cjs`;
-    await build({
-      entryPoints: [entry],
-      outfile,
-      bundle: true,
-      minifySyntax: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'cjs',
-      mainFields: ['module', 'main'],
-      logLevel: 'warning',
-      define: { MARTENBAY_VERSION: JSON.stringify(version) },
-      banner: { js: `#!/usr/bin/env -S node${flags === undefined ? '' : ` ${flags}`}` },
-      external: ['bufferutil', 'utf-8-validate'],
-      plugins: entry.startsWith('platform/') ? [withoutHttp2] : [],
+function bundle(name, entryPoint, options = {}) {
+  return build({
+    entryPoints: [entryPoint],
+    outfile: `${folder}/${name}.cjs`,
+    bundle: true,
+    minifySyntax: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    mainFields: ['module', 'main'],
+    logLevel: 'warning',
+    define: { MARTENBAY_VERSION: JSON.stringify(version) },
+    external: ['bufferutil', 'utf-8-validate'],
+    ...options,
+  });
+}
+
+async function bundleBinary({ name, entry, flags }) {
+  const banner = { js: `#!/usr/bin/env -S node${flags === undefined ? '' : ` ${flags}`}` };
+  const plugins = entry.startsWith('platform/') ? [withoutHttp2] : [];
+  if (loaders.has(name)) {
+    const program = `${name}-program`;
+    await bundle(program, entry.replace('.ts', '-program.ts'), { plugins });
+    await bundle(name, entry, {
+      banner,
+      plugins: [withSeparateProgram(program)],
+      // With `require`, Node.js does not start its loader of ES modules.
+      supported: { 'dynamic-import': false },
     });
-    await chmod(outfile, 0o755);
-  }),
-);
+  } else await bundle(name, entry, { banner, plugins });
+  await chmod(`${folder}/${name}.cjs`, 0o755);
+}
+
+await rm(folder, { recursive: true, force: true });
+await Promise.all(binaries.map(bundleBinary));
--- a/src/binary/control.ts
+++ b/src/binary/control.ts
@@ -1,12 +1,6 @@
-import { createControlProcess } from '../control';
-import { controlSettingsSchema } from '../settings';
-import { runBinary } from './run';
+import { ProcessSignals } from '../core/process-signals';
 
-void runBinary({
-  name: 'martenbay-control',
-  role: 'control',
-  description:
-    'Stores the accepted configuration, program records, histories and budgets; needs a disk.',
-  schema: controlSettingsSchema,
-  create: createControlProcess,
-});
+// The program is a file of its own, since signals must have handlers while it is loaded.
+const signals = new ProcessSignals();
+
+void import('./control-program').then(({ runControl }) => runControl(signals));
--- a/src/binary/entry.ts
+++ b/src/binary/entry.ts
@@ -1,11 +1,6 @@
-import { createEntryProcess } from '../entry';
-import { entrySettingsSchema } from '../settings';
-import { runBinary } from './run';
+import { ProcessSignals } from '../core/process-signals';
 
-void runBinary({
-  name: 'martenbay-entry',
-  role: 'entry',
-  description: 'Accepts requests of callers and routes them to targets.',
-  schema: entrySettingsSchema,
-  create: createEntryProcess,
-});
+// The program is a file of its own, since signals must have handlers while it is loaded.
+const signals = new ProcessSignals();
+
+void import('./entry-program').then(({ runEntry }) => runEntry(signals));
--- a/src/binary/local.ts
+++ b/src/binary/local.ts
@@ -1,3 +1,6 @@
-import { runLocalCommand } from '../local';
+import { ProcessSignals } from '../core/process-signals';
 
-void runLocalCommand();
+// The program is a file of its own, since signals must have handlers while it is loaded.
+const signals = new ProcessSignals();
+
+void import('./local-program').then(({ runLocal }) => runLocal(signals));
--- a/src/binary/run.ts
+++ b/src/binary/run.ts
@@ -6,7 +6,8 @@
   type Logger,
   MartenbayError,
   type RandomSource,
-  StopSignals,
+  type ProcessSignals,
+  type StopSignal,
   SystemClock,
   SystemRandom,
   createLogger,
@@ -33,6 +34,7 @@
 }
 
 export interface BinaryOptions<Schema extends z.ZodType> {
+  readonly signals: ProcessSignals;
   readonly name: string;
   readonly role: string;
   readonly description: string;
@@ -99,7 +101,7 @@
     logger,
     onFailure: () => process.exit(EXIT_CODES.failed),
   });
-  const stop = (signal: string) => {
+  const stop = (signal: StopSignal) => {
     logger.info({ event: 'stopping', signal });
     lifeCycle.stop().then(
       () => {
@@ -112,7 +114,9 @@
       },
     );
   };
-  const stopSignals = new StopSignals(stop);
+  options.signals.onReload(() => {
+    logger.info({ event: 'settings-not-reloaded', reason: 'they are read at the start only' });
+  });
   try {
     await lifeCycle.start();
   } catch (error) {
@@ -120,5 +124,5 @@
     process.exit(EXIT_CODES.failed);
   }
   logger.info({ event: 'started', version: VERSION });
-  stopSignals.enable();
+  options.signals.onStop(stop);
 }
--- a/src/binary/sidecar.ts
+++ b/src/binary/sidecar.ts
@@ -1,11 +1,6 @@
-import { createSidecarProcess } from '../sidecar';
-import { sidecarSettingsSchema } from '../settings';
-import { runBinary } from './run';
+import { ProcessSignals } from '../core/process-signals';
 
-void runBinary({
-  name: 'martenbay-sidecar',
-  role: 'sidecar',
-  description: 'Runs next to one target: admits calls, reports load, executes orders, drains.',
-  schema: sidecarSettingsSchema,
-  create: createSidecarProcess,
-});
+// The program is a file of its own, since signals must have handlers while it is loaded.
+const signals = new ProcessSignals();
+
+void import('./sidecar-program').then(({ runSidecar }) => runSidecar(signals));
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -18,8 +18,8 @@
 export { Metrics } from './metrics';
 export { nameSchema } from './name';
 export { PeriodicTask } from './periodic';
+export { ProcessSignals, type StopSignal } from './process-signals';
 export { type RandomSource, SeededRandom, SystemRandom } from './random';
 export { RecentPeak, type RecentPeakOptions } from './recent-peak';
 export { bothSettled } from './settled';
-export { StopSignals } from './stop-signals';
 export { issuesOf, parseDocument } from './toml';
--- a/src/local/command.ts
+++ b/src/local/command.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import {
   type Address,
+  type ProcessSignals,
   SystemClock,
   SystemRandom,
   createLogger,
@@ -44,7 +45,7 @@
 }
 
 /** Runs the `martenbay-local` command. */
-export async function runLocalCommand(): Promise<void> {
+export async function runLocalCommand(signals: ProcessSignals): Promise<void> {
   const program = new Command('martenbay-local')
     .description(
       'Runs all roles and stand-ins for engines and services in one process, for local testing.',
@@ -56,14 +57,14 @@
     .option('--keep', 'keep serving afterwards')
     .option('--port <number>', 'port for callers', Number)
     .action(async (options: LocalOptions) => {
-      await demo(options);
+      await demo(signals, options);
     });
   program
     .command('run', { isDefault: true })
     .description('serve until stopped')
     .option('--settings <file>', 'TOML file with a section [local]: port, data-folder')
     .action(async (options: { readonly settings?: string }) => {
-      serveUntilStopped(await startSystem(settingsFrom(options.settings)));
+      serveUntilStopped(signals, await startSystem(settingsFrom(options.settings)));
     });
   program
     .command('validate-settings')
@@ -81,7 +82,7 @@
   }
 }
 
-async function demo(options: LocalOptions): Promise<void> {
+async function demo(signals: ProcessSignals, options: LocalOptions): Promise<void> {
   const system = await startSystem(
     options.keep === true ? { port: DEFAULT_PORT, ...options } : options,
   );
@@ -91,7 +92,7 @@
     write: (line) => process.stdout.write(`${line}\n`),
   });
   if (options.keep === true) {
-    serveUntilStopped(system);
+    serveUntilStopped(signals, system);
     return;
   }
   await system.lifeCycle.stop();
@@ -113,16 +114,17 @@
   });
 }
 
-function serveUntilStopped(system: LocalSystem): void {
+function serveUntilStopped(signals: ProcessSignals, system: LocalSystem): void {
   process.stdout.write(`${usage(system.entryUrl)}\n`);
-  const stop = () => {
+  signals.onReload(() => {
+    process.stdout.write('the settings are read at the start only\n');
+  });
+  signals.onStop(() => {
     void system.lifeCycle.stop().then(() => {
       process.stdout.write('stopped cleanly\n');
       process.exit(0);
     });
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  });
 }
 
 function usage(url: string): string {
--- a/src/nodes/index.ts
+++ b/src/nodes/index.ts
@@ -7,6 +7,6 @@
   type PlatformAdapter,
   createGatewayNode,
 } from './gateway-node';
-export { type CreateNode, runNode } from './run';
+export { type CreateNode, type RunOptions, runNode } from './run';
 export { type NodeSettings, nodeSettingsSchema } from './node-settings';
 export { createStoreNode } from './store-node';
--- a/src/nodes/reloadable-settings.ts
+++ b/src/nodes/reloadable-settings.ts
@@ -7,6 +7,8 @@
 
 export interface ReloadableSettingsOptions {
   readonly file: string;
+  /** Modification time of the file before `settings` were read; milliseconds. */
+  readonly modifiedAt: number;
   readonly settings: NodeSettings;
   readonly clock: Clock;
 }
@@ -27,7 +29,7 @@
   constructor(options: ReloadableSettingsOptions) {
     this.#options = options;
     this.#current = options.settings;
-    this.#modifiedAt = readModificationTime(options.file);
+    this.#modifiedAt = options.modifiedAt;
     this.#task = new PeriodicTask(options.clock, CHECK_INTERVAL_MILLISECONDS, () => {
       this.#check();
     });
@@ -76,6 +78,6 @@
 }
 
 /** Wall-clock milliseconds since the Unix epoch, 0 if the file is missing; may go backwards. */
-function readModificationTime(file: string): number {
+export function readModificationTime(file: string): number {
   return statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
 }
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -1,7 +1,8 @@
 import {
   type LifeCycle,
   MartenbayError,
-  StopSignals,
+  type ProcessSignals,
+  type StopSignal,
   SystemClock,
   SystemRandom,
   formatIssue,
@@ -11,7 +12,7 @@
 import { type NodeSettings, nodeSettingsSchema } from './node-settings';
 import { FORMER_LIFETIME_ENDS, LifetimeRecord } from './lifetime-record';
 import type { NodeContext, NodeContextOptions } from './node-context';
-import { ReloadableSettings } from './reloadable-settings';
+import { ReloadableSettings, readModificationTime } from './reloadable-settings';
 
 /** Delay of the exit after an unrecoverable failure; requests in flight get error responses. */
 const FAILURE_EXIT_DELAY_MILLISECONDS = 300;
@@ -29,11 +30,19 @@
   options: Omit<NodeContextOptions, 'kind'>,
 ) => RunnableNode | Promise<RunnableNode>;
 
-/** Runs one process with the settings in `file` until SIGTERM or SIGINT. */
-export async function runNode(file: string, create: CreateNode): Promise<void> {
+export interface RunOptions {
+  /** Path of the settings. */
+  readonly file: string;
+  readonly signals: ProcessSignals;
+  readonly create: CreateNode;
+}
+
+/** Runs one process until SIGTERM or SIGINT; one that arrives earlier is obeyed after the start. */
+export async function runNode({ file, signals, create }: RunOptions): Promise<void> {
+  const modifiedAt = readModificationTime(file);
   const settings = loadSettingsOrExit(file);
   const clock = new SystemClock();
-  const reloadableSettings = new ReloadableSettings({ file, settings, clock });
+  const reloadableSettings = new ReloadableSettings({ file, modifiedAt, settings, clock });
   const node: RunnableNode = await create({
     settings,
     currentSettings: () => reloadableSettings.current,
@@ -65,10 +74,9 @@
     logger.level = level;
   });
   node.lifeCycle.add('settings', reloadableSettings);
-  process.on('SIGHUP', () => {
+  signals.onReload(() => {
     reloadableSettings.reload('SIGHUP');
   });
-  const stopSignals = new StopSignals((signal) => void stop(node, signal, lifetime));
   try {
     await node.lifeCycle.start();
   } catch (error) {
@@ -78,10 +86,14 @@
   lifetime.recordRunning();
   const { 'first-start': firstStart, seeds } = settings.node;
   logger.info({ event: 'started', firstStart, seeds, formerLifetime: lifetime.former });
-  stopSignals.enable();
+  signals.onStop((signal) => void stop(node, signal, lifetime));
 }
 
-async function stop(node: RunnableNode, signal: string, lifetime: LifetimeRecord): Promise<void> {
+async function stop(
+  node: RunnableNode,
+  signal: StopSignal,
+  lifetime: LifetimeRecord,
+): Promise<void> {
   const { logger } = node.context;
   logger.info({ event: 'stopping', signal });
   try {
--- a/src/nodes/tests/reloadable-settings.test.ts
+++ b/src/nodes/tests/reloadable-settings.test.ts
@@ -5,7 +5,7 @@
 import { ManualClock } from '../../core/tests/manual-clock';
 import { loadSettings } from '../../settings/load';
 import { nodeSettingsSchema } from '../node-settings';
-import { ReloadableSettings } from '../reloadable-settings';
+import { ReloadableSettings, readModificationTime } from '../reloadable-settings';
 
 function settingsText(seed: string, level = 'info'): string {
   return `
@@ -37,7 +37,9 @@
   function createReloadableSettings() {
     writeFileSync(file, settingsText('10.0.0.1:1'));
     const initial = loadSettings(nodeSettingsSchema, file);
-    const settings = new ReloadableSettings({ file, settings: initial, clock });
+    const settings = new ReloadableSettings({
+      ...{ file, modifiedAt: readModificationTime(file), settings: initial, clock },
+    });
     const { logger, lines } = collectLog();
     settings.setLogger(logger);
     return { settings, lines };
--- a/src/nodes/tests/run.test.ts
+++ b/src/nodes/tests/run.test.ts
@@ -1,9 +1,9 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { LifeCycle, Metrics } from '../../core';
+import { LifeCycle, Metrics, ProcessSignals } from '../../core';
 import { collectLog } from '../../core/tests/collected-log';
-import { runNode } from '..';
+import { type CreateNode, runNode } from '..';
 import type { NodeContext } from '../node-context';
 
 const SETTINGS = `
@@ -48,7 +48,7 @@
     jest.spyOn(process, 'exit').mockImplementation(((code: number) => {
       events.push(`exit ${code}`);
     }) as unknown as typeof process.exit);
-    await runNode(file, ({ currentSettings }) => {
+    const create: CreateNode = ({ currentSettings }) => {
       seeds = () => currentSettings().node.seeds;
       lifeCycle = new LifeCycle();
       lifeCycle.add('component', {
@@ -70,7 +70,8 @@
             finishDrain = resolve;
           }),
       };
-    });
+    };
+    await runNode({ file, signals: new ProcessSignals(), create });
   });
 
   afterEach(async () => {
