The end of a connection waits for its paused response, and fails only that connection

Cause: when a target closes its connection in order after a response is paused, undici finishes its parser, which asserts that it is not paused; nobody handled the assertion. It needs no stream: a response with a length and `connection: close`, which is paused, ends the process as well. Change: TargetSocket holds the end back until the response is resumed (half- open, so that Node.js does not close it meanwhile), and an error thrown by a listener of a connection closes that connection. An empty piece, which the parser passes on when it resumes, is not written any more: it would pause the response again.

--- a/src/crashes/tests/ending-targets.ts
+++ b/src/crashes/tests/ending-targets.ts
@@ -118,6 +118,10 @@
         });
       },
       ending: () => 'open',
+      beforePause: () => undefined,
+      resume: (resume: () => void) => {
+        resume();
+      },
       release: () => undefined,
       discard: () => undefined,
     };
--- a/src/crashes/tests/simulated-targets.ts
+++ b/src/crashes/tests/simulated-targets.ts
@@ -100,6 +100,10 @@
         });
       },
       ending: () => 'open',
+      beforePause: () => undefined,
+      resume: (resume: () => void) => {
+        resume();
+      },
       release: () => undefined,
       discard: () => undefined,
     };
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -96,7 +96,7 @@
 
   /** Resumes a paused response. */
   resume(): void {
-    this.#controller?.resume();
+    this.#options.connection.resume(() => this.#controller?.resume());
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -124,7 +124,8 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#settled) return;
+    // The parser passes on an empty piece when it resumes a body that the connection delimits.
+    if (this.#settled || chunk.length === 0) return;
     this.#recorder?.push(chunk);
     const excess = this.#recorder?.excess;
     if (excess !== undefined) {
@@ -138,7 +139,9 @@
     }
     if (!this.#hasBegun) receiver.begin(this.#status, this.#headers);
     this.#hasBegun = true;
-    if (!receiver.write(chunk)) controller.pause();
+    if (receiver.write(chunk)) return;
+    this.#options.connection.beforePause();
+    controller.pause();
   }
 
   onResponseEnd(): void {
--- a/src/gateway/tests/attempt.test.ts
+++ b/src/gateway/tests/attempt.test.ts
@@ -104,6 +104,8 @@
           throw new Error('unexpected');
         },
         ending: () => 'open',
+        beforePause: () => undefined,
+        resume: () => undefined,
         release: () => undefined,
         discard: () => undefined,
       },
--- a/src/gateway/tests/forwarder.test.ts
+++ b/src/gateway/tests/forwarder.test.ts
@@ -142,6 +142,10 @@
       handler.onResponseError?.(controller, new Error('reset'));
     },
     ending: () => 'reset',
+    beforePause: () => undefined,
+    resume: (resume: () => void) => {
+      resume();
+    },
     release: () => undefined,
     discard: () => undefined,
   });
--- a/src/gateway/tests/scripted-target.ts
+++ b/src/gateway/tests/scripted-target.ts
@@ -58,6 +58,10 @@
       handler.onResponseEnd?.(controller, {});
     },
     ending: () => 'open',
+    beforePause: () => undefined,
+    resume: (resume: () => void) => {
+      resume();
+    },
     release: onEnd,
     discard: onEnd,
   };
--- a/src/http/connection-ending.ts
+++ b/src/http/connection-ending.ts
@@ -9,6 +9,7 @@
  */
 export class ConnectionMonitor {
   static readonly #monitors = new WeakMap<Socket, ConnectionMonitor>();
+  readonly #socket: Socket;
   #ending: ConnectionEnding = 'open';
 
   /** Returns the monitor of a socket, which sees each event before listeners added earlier. */
@@ -22,13 +23,19 @@
     socket.prependListener('error', () => {
       this.#end('reset');
     });
-    // Node emits 'end' instead of an error for a reset that arrives together with data, because libuv
-    // only reports the hang-up. Such a socket has no remote address any more.
+    this.#socket = socket;
     socket.prependListener('end', () => {
-      this.#end(socket.remoteAddress === undefined ? 'reset' : 'closed');
+      this.recordEnd();
     });
   }
 
+  /** Called at the socket's `end` if its listeners learn of it later. */
+  recordEnd(): void {
+    // Node emits 'end' instead of an error for a reset that arrives together with data, because libuv
+    // only reports the hang-up. Such a socket has no remote address any more.
+    this.#end(this.#socket.remoteAddress === undefined ? 'reset' : 'closed');
+  }
+
   get ending(): ConnectionEnding {
     return this.#ending;
   }
--- a/src/targets/connection-pool.ts
+++ b/src/targets/connection-pool.ts
@@ -1,10 +1,10 @@
-import { type Socket, connect } from 'node:net';
 import type { Client as ClientType, Dispatcher } from 'undici';
 import Client from 'undici/lib/dispatcher/client.js';
 import { type Component, type Logger, type Metrics, parseAddress } from '../core';
 import { type ConnectionEnding, ConnectionMonitor } from '../http';
 import { FramingGuard } from './framing-guard';
 import type { TargetState } from './state';
+import { TargetSocket } from './target-socket';
 
 /** A target accepts a connection within about 1 ms. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -23,6 +23,10 @@
    * the connection as complete even if the connection was reset.
    */
   ending(): ConnectionEnding;
+  /** Called before the response is paused. */
+  beforePause(): void;
+  /** Calls `resume`, which resumes the response. */
+  resume(resume: () => void): void;
   /** Returns the connection to the pool after a complete response, unless the target has restarted. */
   release(): void;
   /** Closes the connection, whose state is unknown. */
@@ -35,7 +39,7 @@
   readonly #metrics: Metrics;
   readonly #idle = new Map<string, Client[]>();
   /** The latest socket of each client. */
-  readonly #sockets = new WeakMap<Client, Socket>();
+  readonly #sockets = new WeakMap<Client, TargetSocket>();
   /** The guard of the response that each client receives. */
   readonly #guards = new WeakMap<Client, (receivedBytes: number) => void>();
 
@@ -58,6 +62,8 @@
         const socket = this.#sockets.get(client);
         return socket === undefined ? 'open' : ConnectionMonitor.of(socket).ending;
       },
+      beforePause: () => this.#sockets.get(client)?.holdEnd(),
+      resume: (resume) => this.#sockets.get(client)?.releaseEnd(resume),
       release: () => {
         if (isReturned) return;
         isReturned = true;
@@ -95,8 +101,14 @@
     this.#metrics.count('target_connections_opened_total');
     const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: createConnector(address, (socket) => {
+      connect: createConnector(address, () => {
+        const socket = new TargetSocket((error) => {
+          const stack = error instanceof Error ? error.stack : undefined;
+          this.#logger.error({ event: 'target-connection-failed', address, stack });
+          this.#metrics.count('target_connections_failed_total');
+        });
         this.#observe(client, socket);
+        return socket;
       }),
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -113,7 +125,7 @@
   }
 
   /** Must be called before the HTTP client adds its listeners to the socket. */
-  #observe(client: Client, socket: Socket): void {
+  #observe(client: Client, socket: TargetSocket): void {
     this.#sockets.set(client, socket);
     ConnectionMonitor.of(socket);
     socket.on('readable', () => this.#guards.get(client)?.(socket.bytesRead));
@@ -156,11 +168,14 @@
   if (error.code === 'ECONNRESET') error.code = 'UND_ERR_SOCKET';
 }
 
-/** Creates a connector that calls `onSocket` before undici adds its listeners to the socket. */
-function createConnector(address: string, onSocket: (socket: Socket) => void): Connector {
+/** Creates a connector that calls `createSocket` before undici adds its listeners to the socket. */
+function createConnector(address: string, createSocket: () => TargetSocket): Connector {
   const { host, port } = parseAddress(address);
   return (_options, callback) => {
-    const socket = connect({ host, port, noDelay: true, timeout: CONNECT_TIMEOUT_MILLISECONDS });
+    const socket = createSocket();
+    socket.setNoDelay(true);
+    socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS);
+    socket.connect({ host, port });
     const onTimeout = () => {
       socket.destroy(
         new Error(`connection not established within ${CONNECT_TIMEOUT_MILLISECONDS} ms`),
@@ -169,7 +184,6 @@
     const onFailedConnect = (error: Error) => {
       callback(error, null);
     };
-    onSocket(socket);
     socket.on('error', preventCompletionByReset);
     socket.once('timeout', onTimeout);
     socket.once('error', onFailedConnect);
