The text of a turn is kept off the heap, counted, and only if the turn is recorded

Change: EventDataCollector counts events, and keeps their data in buffers that an account of the request's budget counts, only for turns that are recorded.

--- a/src/gateway/event-data-collector.ts
+++ b/src/gateway/event-data-collector.ts
@@ -1,16 +1,22 @@
 import { type EventSourceParser, createParser } from 'eventsource-parser';
+import { BlockBuffer, type MemoryAccount } from '../resources';
 
 const LINE_FEED = '\n';
 
-/** Collects the data fields of the server-sent events in a response, byte for byte. */
+/** Counts the server-sent events in a response, and collects their data byte for byte. */
 export class EventDataCollector {
   readonly #parser: EventSourceParser;
-  readonly #data: string[] = [];
+  readonly #data = new BlockBuffer();
+  readonly #account: MemoryAccount | undefined;
+  #count = 0;
 
-  constructor() {
+  /** Without an account for their memory, the data are not collected. */
+  constructor(account: MemoryAccount | undefined) {
+    this.#account = account;
     this.#parser = createParser({
       onEvent: ({ data }) => {
-        this.#data.push(data + LINE_FEED);
+        this.#count += 1;
+        if (account !== undefined) this.#collect(account, data);
       },
     });
   }
@@ -22,11 +28,19 @@
 
   /** Complete events. */
   get count(): number {
-    return this.#data.length;
+    return this.#count;
   }
 
   /** The data of each event, terminated by a line feed. */
   toBuffer(): Buffer {
-    return Buffer.from(this.#data.join(''), 'latin1');
+    if (this.#data.isSplit) this.#account?.add(this.#data.length);
+    return this.#data.toBuffer();
+  }
+
+  #collect(account: MemoryAccount, data: string): void {
+    const before = this.#data.allocatedBytes;
+    this.#data.append(Buffer.from(data + LINE_FEED, 'latin1'));
+    const added = this.#data.allocatedBytes - before;
+    if (added > 0) account.add(added);
   }
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,7 +2,7 @@
 import { type Clock, type Logger, type Metrics, repeat } from '../core';
 import type { Refusal } from '../decisions';
 import { RequestBody, type RequestBodyOutcome, breakOff, closeAfterUnreadBody } from '../http';
-import type { MemoryBudget, MemoryReclaimer } from '../resources';
+import type { MemoryAccount, MemoryBudget, MemoryReclaimer } from '../resources';
 import type { Route } from '../routes';
 import type { Team } from '../teams';
 import type { RequestHead } from './wire-format';
@@ -240,6 +240,21 @@
     });
   }
 
+  /** Memory of the response until it ends; the response is given up if others need the memory. */
+  openAccount(): MemoryAccount {
+    const { budget, reclaimer, metrics } = this.#options;
+    const giveUp = () => {
+      metrics.count('unread_responses_total');
+      this.request.socket.destroy();
+    };
+    const account = budget.open({ onRevoked: giveUp });
+    this.response.once('close', () => {
+      reclaimer.recordReleased(account.bytes);
+      account.close();
+    });
+    return account;
+  }
+
   /** Whether the response started after the route's target latency; undefined if none started. */
   #isLate(): boolean | undefined {
     if (this.#firstByteMilliseconds === undefined || this.#route === undefined) return undefined;
@@ -248,7 +263,7 @@
 
   /** Counts a response until its caller has read it; it is given up if others need the memory. */
   #countUnread(bytes: number): void {
-    const { budget, reclaimer } = this.#options;
+    const { reclaimer } = this.#options;
     const { response } = this;
     const { socket } = this.request;
     // The chunks of which it was joined.
@@ -257,16 +272,7 @@
       reclaimer.recordReleased(bytes);
       return;
     }
-    const giveUp = () => {
-      this.#options.metrics.count('unread_responses_total');
-      socket.destroy();
-    };
-    const account = budget.open({ onRevoked: giveUp });
-    response.once('close', () => {
-      account.close();
-      reclaimer.recordReleased(bytes);
-    });
-    account.add(bytes);
+    this.openAccount().add(bytes);
   }
 
   #markConnectionClosing(): void {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -64,7 +64,10 @@
   constructor(options: GatewayServerOptions) {
     this.#options = options;
     const serve = (request: IncomingMessage, response: ServerResponse) => {
-      void this.#serve(request, response);
+      this.#serve(request, response).catch((error: unknown) => {
+        options.logger.error({ event: 'request-failed', error: messageOf(error) });
+        response.destroy();
+      });
     };
     this.#server = createServer(
       {
--- /dev/null
+++ b/src/gateway/tests/event-data-collector.test.ts
@@ -0,0 +1,28 @@
+import { openUnboundedAccount } from '../../resources/tests/unbounded-account';
+import { EventDataCollector } from '../event-data-collector';
+
+const EVENTS = 100;
+
+const EVENT = `data: ${'x'.repeat(1000)}\n\n`;
+
+// Guards against streams whose text fills the heap of the gateway, which ends it.
+describe('EventDataCollector', () => {
+  const pushEvents = (collector: EventDataCollector) => {
+    for (let event = 0; event < EVENTS; event += 1) collector.push(Buffer.from(EVENT));
+  };
+
+  it('keeps nothing of a stream that is not recorded', () => {
+    const collector = new EventDataCollector(undefined);
+    pushEvents(collector);
+    expect(collector.count).toBe(EVENTS);
+    expect(collector.toBuffer()).toHaveLength(0);
+  });
+
+  it('counts what it keeps as memory of the request', () => {
+    const account = openUnboundedAccount();
+    const collector = new EventDataCollector(account);
+    pushEvents(collector);
+    expect(account.bytes).toBeGreaterThanOrEqual(EVENTS * 1000);
+    expect(collector.toBuffer()).toHaveLength(EVENTS * 1001);
+  });
+});
--- a/src/gateway/tests/request-scenario.ts
+++ b/src/gateway/tests/request-scenario.ts
@@ -1,3 +1,4 @@
+import { openUnboundedAccount } from '../../resources/tests/unbounded-account';
 import { Metrics, SeededRandom, createSilentLogger } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import {
@@ -179,6 +180,7 @@
         listeners.add(listener);
         return () => listeners.delete(listener);
       },
+      openAccount: openUnboundedAccount,
       recordDecision: () => undefined,
       beginResponse: () => undefined,
       respond: () => log('responded'),
--- a/src/gateway/tests/turn-handler.test.ts
+++ b/src/gateway/tests/turn-handler.test.ts
@@ -1,3 +1,4 @@
+import { openUnboundedAccount } from '../../resources/tests/unbounded-account';
 import { Metrics, SeededRandom } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { DEFAULT_DECISION_SWITCHES, type EngineLoad, type Refusal } from '../../decisions';
@@ -102,6 +103,7 @@
   const exchange = {
     head: { ...head, previousTurn },
     deadline: clock.monotonic() + 4000,
+    openAccount: openUnboundedAccount,
     response: { on: () => undefined },
     readBody: () => Promise.resolve(Buffer.from('x')),
     hasDisconnected: () => false,
--- a/src/gateway/tests/turn-recording.test.ts
+++ b/src/gateway/tests/turn-recording.test.ts
@@ -1,3 +1,4 @@
+import { openUnboundedAccount } from '../../resources/tests/unbounded-account';
 import { Metrics, SeededRandom } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { DEFAULT_DECISION_SWITCHES, type Refusal } from '../../decisions';
@@ -57,6 +58,7 @@
     deadline: clock.monotonic() + REQUEST_MILLISECONDS,
     response: { on: () => undefined, write: () => true, end: () => events.push('end') },
     readBody: () => Promise.resolve(Buffer.from('new input')),
+    openAccount: openUnboundedAccount,
     recordDecision: () => undefined,
     beginResponse: () => events.push('begin'),
     hasDisconnected: () => isStreamed && hasDisconnected,
--- a/src/gateway/turn-handler.ts
+++ b/src/gateway/turn-handler.ts
@@ -120,7 +120,8 @@
   async #send(turn: Turn, chain: Chain): Promise<void> {
     const { exchange, route, table, holds } = turn;
     const { forwarder, engineAdmission } = this.#options;
-    const output = new EventDataCollector();
+    const isRecorded = route.retentionSeconds !== undefined;
+    const output = new EventDataCollector(isRecorded ? exchange.openAccount() : undefined);
     let attempt: Attempt | undefined;
     let lastPlacement: Placement | undefined;
     exchange.response.on('drain', () => attempt?.resume());
