A process outlives the error of one callback

Callers saw: any exception or rejected promise that nothing handled ended the process, with all its requests. The failed log of the cluster state is closed before it is opened again; each try left a descriptor open.

--- a/src/binary/run.ts
+++ b/src/binary/run.ts
@@ -10,6 +10,7 @@
   type StopSignal,
   SystemClock,
   SystemRandom,
+  UncaughtErrors,
   createLogger,
   messageOf,
 } from '../core';
@@ -93,14 +94,20 @@
   settings: z.output<Schema>,
 ): Promise<void> {
   const { host } = settings;
+  const clock = new SystemClock();
   const logger = createLogger({ role: options.role, host: host.name, level: host['log-level'] });
   const lifeCycle = options.create({
     settings,
-    clock: new SystemClock(),
+    clock,
     random: new SystemRandom(),
     logger,
     onFailure: () => process.exit(EXIT_CODES.failed),
   });
+  const onExcess = (error: unknown) => {
+    logger.fatal({ event: 'process-failed', error: messageOf(error) });
+    process.exit(EXIT_CODES.failed);
+  };
+  lifeCycle.add('uncaught-errors', new UncaughtErrors({ clock, logger, onExcess }));
   const stop = (signal: StopSignal) => {
     logger.info({ event: 'stopping', signal });
     lifeCycle.stop().then(
--- a/src/cluster/replica.ts
+++ b/src/cluster/replica.ts
@@ -200,6 +200,9 @@
    */
   #scheduleReopen(failed: ReplicatedLog<CommandOutcome>): void {
     const { clock, logger } = this.#options;
+    failed.stop().catch((error: unknown) => {
+      logger.info({ event: 'cluster-state-not-closed', error: messageOf(error) });
+    });
     this.#cancelReopen = clock.after(REOPEN_DELAY_MILLISECONDS, () => {
       if (this.#log !== failed) return;
       const log = this.#createLog();
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -53,10 +53,14 @@
   let cancel: CancelTimer = () => undefined;
   const schedule = () => {
     cancel = clock.after(milliseconds, () => {
-      const result = action();
-      // Synchronous actions run several times per second in an idle process and need no promises.
-      if (result === undefined) scheduleNext();
-      else void result.finally(scheduleNext);
+      let result: Promise<void> | void = undefined;
+      try {
+        result = action();
+      } finally {
+        // Synchronous actions run several times per second in an idle process and need no promises.
+        if (result === undefined) scheduleNext();
+        else void result.finally(scheduleNext);
+      }
     });
   };
   const scheduleNext = () => {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -96,7 +96,7 @@
   readonly context: NodeContext;
   readonly lifeCycle: LifeCycle;
   /** Transfers leadership and waits for the requests in flight, within `stop-seconds`. */
-  drain(): Promise<void>;
+  readonly drain: () => Promise<void>;
 }
 
 /** Creates a gateway; on a host with a disk it also keeps a replica of the cluster's state. */
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -1,10 +1,12 @@
 import {
+  type Clock,
   type LifeCycle,
   MartenbayError,
   type ProcessSignals,
   type StopSignal,
   SystemClock,
   SystemRandom,
+  UncaughtErrors,
   formatIssue,
   messageOf,
 } from '../core';
@@ -23,7 +25,7 @@
   readonly context: NodeContext;
   readonly lifeCycle: LifeCycle;
   /** Finishes the work in flight before the life cycle stops. */
-  drain?(): Promise<void>;
+  readonly drain?: () => Promise<void>;
 }
 
 export type CreateNode = (
@@ -43,32 +45,19 @@
   const settings = loadSettingsOrExit(file);
   const clock = new SystemClock();
   const reloadableSettings = new ReloadableSettings({ file, modifiedAt, settings, clock });
-  const node: RunnableNode = await create({
+  const node = await create({
     settings,
     currentSettings: () => reloadableSettings.current,
     clock,
     random: new SystemRandom(),
     onFailure: (error) => {
       clock.after(FAILURE_EXIT_DELAY_MILLISECONDS, () => {
-        fail(error);
+        running.fail(error);
       });
     },
   });
+  const running = new RunningNode(node, settings, clock);
   const { logger, metrics } = node.context;
-  const lifetime = new LifetimeRecord({ dataFolder: settings.node['data-folder'], logger });
-  for (const end of FORMER_LIFETIME_ENDS) {
-    metrics.gauge(`former_lifetime{end="${end}"}`, () => Number(lifetime.former.end === end));
-  }
-  lifetime.recordRunning();
-  const fail = (error: unknown) => {
-    const stack = error instanceof Error ? error.stack : undefined;
-    logger.fatal({ event: 'process-failed', error: messageOf(error), stack });
-    lifetime.recordFailed(messageOf(error));
-    node.context.logOutput.stop();
-    process.exit(EXIT_CODES.failed);
-  };
-  process.on('uncaughtException', fail);
-  process.on('unhandledRejection', fail);
   reloadableSettings.setLogger(logger);
   reloadableSettings.onReload(({ node: { 'log-level': level } }) => {
     logger.level = level;
@@ -77,36 +66,92 @@
   signals.onReload(() => {
     reloadableSettings.reload('SIGHUP');
   });
-  try {
-    await node.lifeCycle.start();
-  } catch (error) {
-    logger.fatal({ event: 'start-failed', error: messageOf(error) });
-    fail(error);
-  }
-  lifetime.recordRunning();
-  const { 'first-start': firstStart, seeds } = settings.node;
-  logger.info({ event: 'started', firstStart, seeds, formerLifetime: lifetime.former });
-  signals.onStop((signal) => void stop(node, signal, lifetime));
+  const onExcess = (error: unknown) => {
+    running.fail(error);
+  };
+  node.lifeCycle.add('uncaught-errors', new UncaughtErrors({ clock, logger, metrics, onExcess }));
+  if (!(await running.start())) return;
+  signals.onStop((signal) => {
+    running.stop(signal);
+  });
 }
 
-async function stop(
-  node: RunnableNode,
-  signal: StopSignal,
-  lifetime: LifetimeRecord,
-): Promise<void> {
-  const { logger } = node.context;
-  logger.info({ event: 'stopping', signal });
-  try {
-    await node.drain?.();
-    logger.info({ event: 'stopped' });
-    await node.lifeCycle.stop();
-    lifetime.recordStopped();
-    process.exit(EXIT_CODES.stopped);
-  } catch (error) {
-    logger.fatal({ event: 'stop-failed', error: messageOf(error) });
-    lifetime.recordFailed(messageOf(error));
-    node.context.logOutput.stop();
-    process.exit(EXIT_CODES.failed);
+/** A process from its start to its exit. */
+class RunningNode {
+  readonly #node: RunnableNode;
+  readonly #settings: NodeSettings;
+  readonly #clock: Clock;
+  readonly #lifetime: LifetimeRecord;
+  #isStarted = false;
+  #isEnding = false;
+
+  constructor(node: RunnableNode, settings: NodeSettings, clock: Clock) {
+    this.#node = node;
+    this.#settings = settings;
+    this.#clock = clock;
+    const { logger, metrics } = node.context;
+    this.#lifetime = new LifetimeRecord({ dataFolder: settings.node['data-folder'], logger });
+    const { former } = this.#lifetime;
+    for (const end of FORMER_LIFETIME_ENDS) {
+      metrics.gauge(`former_lifetime{end="${end}"}`, () => Number(former.end === end));
+    }
+  }
+
+  /** Resolves with whether the process serves; if not, it is ending. */
+  async start(): Promise<boolean> {
+    const { lifeCycle, context } = this.#node;
+    this.#lifetime.recordRunning();
+    try {
+      await lifeCycle.start();
+    } catch (error) {
+      context.logger.fatal({ event: 'start-failed', error: messageOf(error) });
+      this.fail(error);
+      return false;
+    }
+    this.#isStarted = true;
+    this.#lifetime.recordRunning();
+    const { 'first-start': firstStart, seeds } = this.#settings.node;
+    const { former } = this.#lifetime;
+    context.logger.info({ event: 'started', firstStart, seeds, formerLifetime: former });
+    return true;
+  }
+
+  /** Ends the process in order; later calls do nothing. */
+  stop(signal: StopSignal): void {
+    if (this.#isEnding) return;
+    this.#isEnding = true;
+    this.#node.context.logger.info({ event: 'stopping', signal });
+    void this.#end(EXIT_CODES.stopped);
+  }
+
+  /** Ends the process after an unrecoverable failure, with the requests in flight answered. */
+  fail(error: unknown): void {
+    if (this.#isEnding) return;
+    this.#isEnding = true;
+    const stack = error instanceof Error ? error.stack : undefined;
+    this.#node.context.logger.fatal({ event: 'process-failed', error: messageOf(error), stack });
+    this.#lifetime.recordFailed(messageOf(error));
+    this.#clock.after(this.#settings.node['stop-seconds'] * 1000, () => {
+      process.exit(EXIT_CODES.failed);
+    });
+    void this.#end(EXIT_CODES.failed);
+  }
+
+  async #end(code: number): Promise<void> {
+    const { context, lifeCycle, drain } = this.#node;
+    const { logger, logOutput } = context;
+    try {
+      if (this.#isStarted) await drain?.();
+      logger.info({ event: 'stopped' });
+      await lifeCycle.stop();
+      if (code === EXIT_CODES.stopped) this.#lifetime.recordStopped();
+      process.exit(code);
+    } catch (error) {
+      logger.fatal({ event: 'stop-failed', error: messageOf(error) });
+      this.#lifetime.recordFailed(messageOf(error));
+      logOutput.stop();
+      process.exit(EXIT_CODES.failed);
+    }
   }
 }
 
