An address that another process holds is tried again

Callers saw: a process whose port was held ended with 1 at once, and again at each start; a held port for metrics kept a store from serving. Cause: a failed `listen` ended the start. The first error listener also stayed, for one error only, so that the second failed accept would have ended the process. The start goes on meanwhile; a gateway is ready once callers can connect.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,7 +8,13 @@
   messageOf,
 } from '../core';
 import type { Refusal } from '../decisions';
-import { ConnectionGuard, IdleConnections, SequentialRequests, isTooLong } from '../http';
+import {
+  ConnectionGuard,
+  IdleConnections,
+  PersistentListener,
+  SequentialRequests,
+  isTooLong,
+} from '../http';
 import type { MemoryBudget, MemoryReclaimer } from '../resources';
 import type { CallerLimits, RouteTable } from '../routes';
 import { endWithoutBody } from './body-refusal';
@@ -29,6 +35,9 @@
 /** Time within which a complete request, including its body, must arrive. */
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 
+/** Connections that the operating system accepts while the process is busy. */
+const BACKLOG = 1024;
+
 export interface GatewayServerOptions {
   readonly address: Address;
   readonly wire: WireFormat;
@@ -54,6 +63,7 @@
 export class GatewayServer implements Component {
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
+  readonly #listener: PersistentListener;
   readonly #idleConnections: IdleConnections;
   readonly #routeFinder: RouteFinder;
   readonly #sequence = new SequentialRequests();
@@ -79,7 +89,10 @@
     );
     // Otherwise Node.js would invite the body before the request is known to be admitted.
     this.#server.on('checkContinue', serve);
-    const { connectionLimit: limit, clock, metrics } = options;
+    const { address, connectionLimit: limit, clock, logger, metrics } = options;
+    this.#listener = new PersistentListener({
+      ...{ name: 'callers', server: this.#server, address, backlog: BACKLOG, clock, logger },
+    });
     new ConnectionGuard(this.#server, { listener: 'callers', limit, clock, metrics });
     this.#idleConnections = new IdleConnections(this.#server);
     this.#routeFinder = new RouteFinder(options);
@@ -87,14 +100,16 @@
   }
 
   start(): Promise<void> {
-    const { host, port } = this.#options.address;
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: 1024 }, resolve);
-    });
+    return this.#listener.start();
+  }
+
+  /** Whether callers can connect. */
+  get isListening(): boolean {
+    return this.#listener.isListening;
   }
 
   stop(): void {
+    this.#listener.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -112,6 +127,7 @@
   /** Stops listening, closes idle connections and refuses new requests on the others. */
   refuseNewRequests(): void {
     this.#isDraining = true;
+    this.#listener.stop();
     this.#server.close();
     this.#idleConnections.close();
   }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -7,6 +7,7 @@
 export { type HttpCall, HttpClient, type HttpResponse } from './http-client';
 export { IdleConnections } from './idle-connections';
 export { closeAfterUnreadBody } from './lingering-close';
+export { PersistentListener, type PersistentListenerOptions } from './persistent-listener';
 export { readBeginning, readBody } from './read-body';
 export {
   RequestBody,
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -204,7 +204,7 @@
   });
   let isDraining = false;
   const isServing = () => table !== undefined && targets.isLoaded && quorumMonitor.reachesQuorum;
-  const isReady = () => !isDraining && isServing() && keyGuard.isConfirmed;
+  const isReady = () => !isDraining && server.isListening && isServing() && keyGuard.isConfirmed;
   const server = new GatewayServer({
     address: parseAddress(settings.listen.callers ?? ''),
     wire: platform.wire,
--- a/src/nodes/http-endpoint.ts
+++ b/src/nodes/http-endpoint.ts
@@ -7,7 +7,7 @@
   messageOf,
   parseAddress,
 } from '../core';
-import { ConnectionGuard, closeAfterUnreadBody } from '../http';
+import { ConnectionGuard, PersistentListener, closeAfterUnreadBody } from '../http';
 import type { MemoryReclaimer } from '../resources';
 
 /** Time within which the head of a request must arrive, and the whole request. */
@@ -34,6 +34,7 @@
 export class HttpEndpoint implements Component {
   readonly #options: HttpEndpointOptions;
   readonly #server: Server;
+  readonly #listener: PersistentListener;
 
   constructor(options: HttpEndpointOptions) {
     this.#options = options;
@@ -50,19 +51,18 @@
       response.writeContinue();
       serve(request, response);
     });
-    const { name: listener, connectionLimit: limit, clock, metrics } = options;
-    new ConnectionGuard(this.#server, { listener, limit, clock, metrics });
+    const { name, connectionLimit: limit, clock, logger, metrics } = options;
+    new ConnectionGuard(this.#server, { listener: name, limit, clock, metrics });
+    const address = parseAddress(options.address);
+    this.#listener = new PersistentListener({ name, server: this.#server, address, clock, logger });
   }
 
   start(): Promise<void> {
-    const { host, port } = parseAddress(this.#options.address);
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port }, resolve);
-    });
+    return this.#listener.start();
   }
 
   stop(): void {
+    this.#listener.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/src/nodes/node-context.ts
+++ b/src/nodes/node-context.ts
@@ -208,6 +208,7 @@
     const { clock, logger, metrics, reclaimer, limits } = this;
     return new RpcServer<SystemContract>({
       address: parseAddress(this.settings.node.address),
+      clock,
       logger,
       calls,
       casts,
--- a/src/rpc/server.ts
+++ b/src/rpc/server.ts
@@ -1,6 +1,6 @@
 import { type Server, type Socket, createServer } from 'node:net';
-import { type Address, type Component, type Logger, messageOf } from '../core';
-import { ConnectionGuard, type ConnectionGuardOptions } from '../http';
+import { type Address, type Clock, type Component, type Logger, messageOf } from '../core';
+import { ConnectionGuard, type ConnectionGuardOptions, PersistentListener } from '../http';
 import type { MemoryBudget, MemoryReclaimer } from '../resources';
 import type { CallHandlers, CastHandlers, RpcContract } from './contract';
 import { type Frame, FrameDecoder, writeFrame } from './frame';
@@ -8,6 +8,7 @@
 
 export interface RpcServerOptions<C extends RpcContract> {
   readonly address: Address;
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly calls: readonly CallHandlers<C>[];
   readonly casts: readonly CastHandlers<C>[];
@@ -30,6 +31,7 @@
   readonly #casts: ReadonlyMap<string, UntypedCastHandler>;
   readonly #sockets = new Set<Socket>();
   readonly #server: Server;
+  readonly #listener: PersistentListener;
   readonly #guard: ConnectionGuard | undefined;
 
   constructor(options: RpcServerOptions<C>) {
@@ -44,19 +46,19 @@
     this.#server = createServer({ noDelay: true }, (socket) => {
       this.#accept(socket);
     });
-    const { connections } = options;
+    const { address, clock, logger, connections } = options;
+    this.#listener = new PersistentListener({
+      ...{ name: 'peers', server: this.#server, address, clock, logger },
+    });
     if (connections !== undefined) this.#guard = new ConnectionGuard(this.#server, connections);
   }
 
   start(): Promise<void> {
-    const { host, port } = this.#options.address;
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port }, resolve);
-    });
+    return this.#listener.start();
   }
 
   stop(): Promise<void> {
+    this.#listener.stop();
     for (const socket of this.#sockets) socket.destroy();
     return new Promise((resolve) => {
       this.#server.close(() => {
--- a/src/rpc/tests/rpc.test.ts
+++ b/src/rpc/tests/rpc.test.ts
@@ -24,6 +24,7 @@
 
 async function startRpcServer(address: Address, note: (text: string) => void) {
   const rpcServer = new RpcServer<TestContract>({
+    clock: new SystemClock(),
     address,
     logger: LOGGER,
     calls: [
