Settings that are written while a process starts are read again

Callers saw: a process that was started while its settings were written ended with 2. Cause: an empty or cut off file at the start was final; only the reload of a running process kept it. Change: the first read is repeated every 100 ms for 10 s, with the faults on standard error; then the process ends with 2 as before. A stop signal ends the wait.

--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -1,20 +1,18 @@
 import {
   type Clock,
   type LifeCycle,
-  MartenbayError,
   type ProcessSignals,
   type StopSignal,
   SystemClock,
   SystemRandom,
   UncaughtErrors,
-  formatIssue,
   messageOf,
 } from '../core';
-import { loadSettings } from '../settings/load';
-import { type NodeSettings, nodeSettingsSchema } from './node-settings';
+import { readInitialSettings } from './initial-settings';
+import type { NodeSettings } from './node-settings';
 import { FORMER_LIFETIME_ENDS, LifetimeRecord } from './lifetime-record';
 import type { NodeContext, NodeContextOptions } from './node-context';
-import { ReloadableSettings, readModificationTime } from './reloadable-settings';
+import { ReloadableSettings } from './reloadable-settings';
 
 /** Delay of the exit after an unrecoverable failure; requests in flight get error responses. */
 const FAILURE_EXIT_DELAY_MILLISECONDS = 300;
@@ -41,9 +39,11 @@
 
 /** Runs one process until SIGTERM or SIGINT; one that arrives earlier is obeyed after the start. */
 export async function runNode({ file, signals, create }: RunOptions): Promise<void> {
-  const modifiedAt = readModificationTime(file);
-  const settings = loadSettingsOrExit(file);
   const clock = new SystemClock();
+  const initial = await readInitialSettings({ file, signals, clock, report: writeError });
+  if (initial.kind === 'invalid') process.exit(EXIT_CODES.invalid);
+  if (initial.kind === 'stopped') process.exit(EXIT_CODES.stopped);
+  const { settings, modifiedAt } = initial;
   const reloadableSettings = new ReloadableSettings({ file, modifiedAt, settings, clock });
   const node = await create({
     settings,
@@ -155,12 +155,6 @@
   }
 }
 
-function loadSettingsOrExit(file: string): NodeSettings {
-  try {
-    return loadSettings(nodeSettingsSchema, file);
-  } catch (error) {
-    if (!(error instanceof MartenbayError)) throw error;
-    process.stderr.write(`${error.issues.map(formatIssue).join('\n')}\n`);
-    return process.exit(EXIT_CODES.invalid);
-  }
+function writeError(text: string): void {
+  process.stderr.write(`${text}\n`);
 }
