A disk that refuses a write or can't be read doesn't end the process

Callers saw: a store ended itself (1) at the first refused write, to be started into the same disk again; a gateway of the core did not start at all. Cause: 'unwritable' was taken for the end of the process, since the content of the files is unknown after it. A store whose disk can't be read waits, with its metrics, and obeys a stop signal; a view or a completeness that the disk refused is written again. A gateway starts without its disk: its cache of the known state and its vote come back with it. onFailure is gone.

--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -6,7 +6,7 @@
 export { ClusterBootstrap } from './bootstrap';
 export { HeartbeatSender, type HeartbeatSenderOptions } from './heartbeat-sender';
 export { type ClusterCommand, ClusterStateMachine, type CommandOutcome } from './state-machine';
-export { ClusterStateCache, type ClusterStateCacheOptions } from './state-cache';
+export { ClusterStateCache, newestState, type ClusterStateCacheOptions } from './state-cache';
 export { ClusterReplica } from './replica';
 export { type PackedText, packText, packedLengthOf, unpackText } from './packed-text';
 export { LatestValue } from './latest-value';
--- a/src/cluster/replica.ts
+++ b/src/cluster/replica.ts
@@ -71,8 +71,15 @@
     this.#log = this.#createLog();
   }
 
-  start(): Promise<void> {
-    return this.#log.start();
+  /** A host whose disk can't be read serves callers, and votes once it can. */
+  async start(): Promise<void> {
+    const log = this.#log;
+    try {
+      await log.start();
+    } catch (error) {
+      this.#options.logger.error({ event: 'cluster-state-not-opened', error: messageOf(error) });
+      this.#scheduleReopen(log);
+    }
   }
 
   stop(): Promise<void> {
--- a/src/cluster/state-cache.ts
+++ b/src/cluster/state-cache.ts
@@ -54,17 +54,28 @@
 
   async #restore(): Promise<void> {
     const { store, configuration, view, logger } = this.#options;
-    const { snapshot = [], records } = await store.load();
-    for (const text of [...snapshot, ...records]) {
-      this.#characters += text.length;
-      const record = recordSchema.parse(JSON.parse(text));
-      if ('view' in record) view.offer(record.view);
-      else configuration.offer(record.configuration);
-    }
+    const take = (text: string) => {
+      this.#offer(text);
+    };
+    const reset = () => {
+      this.#characters = 0;
+    };
+    const { snapshot = [], records } = await store.load({
+      ...{ reset, takeSnapshotRow: take, takeRecord: take },
+    });
+    for (const text of [...snapshot, ...records]) take(text);
     const versions = { configuration: configuration.version, epoch: view.version };
     logger.info({ event: 'known-state-read', ...versions });
   }
 
+  #offer(text: string): void {
+    const { configuration, view } = this.#options;
+    this.#characters += text.length;
+    const record = recordSchema.parse(JSON.parse(text));
+    if ('view' in record) view.offer(record.view);
+    else configuration.offer(record.configuration);
+  }
+
   #persist(record: CachedRecord): void {
     const { store, logger } = this.#options;
     const text = JSON.stringify(record);
@@ -79,10 +90,18 @@
 
   #compaction(): { snapshot: readonly string[]; records: readonly string[]; exclusive: boolean } {
     const { configuration, view } = this.#options;
-    const newest: CachedRecord[] = [];
-    if (configuration.value !== undefined) newest.push({ configuration: configuration.value });
-    if (view.value !== undefined) newest.push({ view: view.value });
-    const snapshot = newest.map((record) => JSON.stringify(record));
+    const snapshot = newestState(configuration, view);
     return { snapshot, records: [], exclusive: false };
   }
 }
+
+/** The newest configuration and view that are known, as records. */
+export function newestState(
+  configuration: LatestValue<VersionedConfiguration>,
+  view: LatestValue<StoreView>,
+): readonly string[] {
+  const newest: CachedRecord[] = [];
+  if (configuration.value !== undefined) newest.push({ configuration: configuration.value });
+  if (view.value !== undefined) newest.push({ view: view.value });
+  return newest.map((record) => JSON.stringify(record));
+}
--- a/src/nodes/node-context.ts
+++ b/src/nodes/node-context.ts
@@ -19,6 +19,7 @@
   type ReplicaComponents,
   ClusterStateCache,
   LatestValue,
+  newestState,
   NodeDirectory,
   type NodeInfo,
   type NodeKind,
@@ -31,7 +32,7 @@
 import { type CallHandlers, type CastHandlers, RpcServer, PeerConnections } from '../rpc';
 import { MemoryBudget, MemoryReclaimer, type ResourceLimits, resourceLimits } from '../resources';
 import type { QuotaAllocator } from '../quotas';
-import { NodeFileSystem, QuarantiningStore, type RecordStore } from '../storage';
+import { NodeFileSystem, QuarantiningStore, RecoveringStore, type RecordStore } from '../storage';
 import type { SystemContract } from './contract';
 import { HttpEndpoint, type HttpEndpointOptions, serveMetrics, withoutBody } from './http-endpoint';
 import { LogOutput } from './log-output';
@@ -46,8 +47,6 @@
   readonly currentSettings: () => NodeSettings;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Ends the process after an unrecoverable failure, which the caller has logged. */
-  readonly onFailure: (error: unknown) => void;
 }
 
 /** Dependencies shared by the components of a process, and factories for those of the cluster. */
@@ -171,7 +170,13 @@
 
   /** Requires a data folder. */
   createClusterStateCache(): ClusterStateCache {
-    return new ClusterStateCache({ ...this.#sharedOptions, store: this.openStore('known') });
+    const { clock, logger, configuration, view } = this;
+    const store = new RecoveringStore({
+      ...{ name: 'known', loadWaits: false, clock, logger },
+      openStore: () => this.openStore('known'),
+      snapshot: () => newestState(configuration, view),
+    });
+    return new ClusterStateCache({ ...this.#sharedOptions, store });
   }
 
   createClusterService(
--- a/src/nodes/run.ts
+++ b/src/nodes/run.ts
@@ -14,9 +14,6 @@
 import type { NodeContext, NodeContextOptions } from './node-context';
 import { ReloadableSettings } from './reloadable-settings';
 
-/** Delay of the exit after an unrecoverable failure; requests in flight get error responses. */
-const FAILURE_EXIT_DELAY_MILLISECONDS = 300;
-
 const EXIT_CODES = { stopped: 0, failed: 1, invalid: 2 } as const;
 
 export interface RunnableNode {
@@ -24,11 +21,11 @@
   readonly lifeCycle: LifeCycle;
   /** Finishes the work in flight before the life cycle stops. */
   readonly drain?: () => Promise<void>;
+  /** Makes a start that would last long reject; another one is completed. */
+  readonly cancelStart?: () => void;
 }
 
-export type CreateNode = (
-  options: Omit<NodeContextOptions, 'kind'>,
-) => RunnableNode | Promise<RunnableNode>;
+export type CreateNode = (options: Omit<NodeContextOptions, 'kind'>) => RunnableNode;
 
 export interface RunOptions {
   /** Path of the settings. */
@@ -45,16 +42,11 @@
   if (initial.kind === 'stopped') process.exit(EXIT_CODES.stopped);
   const { settings, modifiedAt } = initial;
   const reloadableSettings = new ReloadableSettings({ file, modifiedAt, settings, clock });
-  const node = await create({
+  const node = create({
     settings,
     currentSettings: () => reloadableSettings.current,
     clock,
     random: new SystemRandom(),
-    onFailure: (error) => {
-      clock.after(FAILURE_EXIT_DELAY_MILLISECONDS, () => {
-        running.fail(error);
-      });
-    },
   });
   const running = new RunningNode(node, settings, clock);
   const { logger, metrics } = node.context;
@@ -70,7 +62,8 @@
     running.fail(error);
   };
   node.lifeCycle.add('uncaught-errors', new UncaughtErrors({ clock, logger, metrics, onExcess }));
-  if (!(await running.start())) return;
+  signals.onStop(() => node.cancelStart?.());
+  if (!(await running.start(signals))) return;
   signals.onStop((signal) => {
     running.stop(signal);
   });
@@ -98,12 +91,16 @@
   }
 
   /** Resolves with whether the process serves; if not, it is ending. */
-  async start(): Promise<boolean> {
+  async start(signals: ProcessSignals): Promise<boolean> {
     const { lifeCycle, context } = this.#node;
     this.#lifetime.recordRunning();
     try {
       await lifeCycle.start();
     } catch (error) {
+      if (signals.stopSignal !== undefined) {
+        this.stop(signals.stopSignal);
+        return false;
+      }
       context.logger.fatal({ event: 'start-failed', error: messageOf(error) });
       this.fail(error);
       return false;
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -14,3 +14,4 @@
 export { QuarantiningStore, type QuarantiningStoreOptions } from './quarantining-store';
 export type { Compaction, RecordConsumer, RecordStore, StoredRecords } from './record-store';
 export { SegmentedStore, type SegmentedStoreOptions, markDamaged } from './segmented-store';
+export { RecoveringStore, type RecoveringStoreOptions } from './recovering-store';
--- a/src/turns/backfill.ts
+++ b/src/turns/backfill.ts
@@ -76,8 +76,8 @@
       }
       if (sources.size < view.quorum) await delay(clock, RETRY_DELAY_MILLISECONDS);
     }
-    if (!this.#isCurrent(view)) return;
-    await journal.persistCompleteFor(self.joined);
+    while (!(await this.#persistComplete(view, self))) await delay(clock, RETRY_DELAY_MILLISECONDS);
+    if (journal.completeFor !== self.joined) return;
     logger.info({
       event: 'filled',
       epoch: view.epoch,
@@ -88,6 +88,19 @@
     });
   }
 
+  /** Resolves with false while the disk refuses that, and with true also if the view is outdated. */
+  async #persistComplete(view: StoreView, { joined }: ViewMember): Promise<boolean> {
+    const { journal, logger } = this.#options;
+    if (!this.#isCurrent(view)) return true;
+    try {
+      await journal.persistCompleteFor(joined);
+      return true;
+    } catch (error) {
+      logger.info({ event: 'filling-put-off', error: messageOf(error) });
+      return false;
+    }
+  }
+
   #isCurrent(view: StoreView): boolean {
     return !this.#stopped && this.#view === view;
   }
--- a/src/turns/journal.ts
+++ b/src/turns/journal.ts
@@ -34,24 +34,18 @@
 export class TurnJournal {
   readonly #store: RecordStore;
   readonly #random: RandomSource;
-  readonly #onFailure: (error: unknown) => void;
   readonly table = new TurnTable();
   #state: StoreState = NEW_STATE;
   #durableCompleteFor = 0;
   #characters = 0;
   #compacting = false;
 
-  /** `onFailure` is called when a write fails, after which the content of the disk is unknown. */
-  constructor(
-    store: RecordStore,
-    random: RandomSource,
-    onFailure: (error: unknown) => void = () => undefined,
-  ) {
+  constructor(store: RecordStore, random: RandomSource) {
     this.#store = store;
     this.#random = random;
-    this.#onFailure = onFailure;
   }
 
+  /** May be called again after a rejection. */
   async open(): Promise<void> {
     const { snapshot = [], records } = await this.#store.load({
       reset: () => {
@@ -117,12 +111,7 @@
   async #append(lines: readonly string[]): Promise<void> {
     for (const line of lines) this.#characters += line.length;
     // An earlier append may hold the same row and not be durable yet; the no-op line waits for it.
-    try {
-      await this.#store.append(lines.length > 0 ? lines : [NO_OP_LINE]);
-    } catch (error) {
-      this.#onFailure(error);
-      throw error;
-    }
+    await this.#store.append(lines.length > 0 ? lines : [NO_OP_LINE]);
     if (this.#characters > COMPACTION_THRESHOLD_CHARACTERS && !this.#compacting)
       await this.#compact();
   }
@@ -131,14 +120,15 @@
     this.#compacting = true;
     this.#characters = 0;
     try {
-      const snapshot = this.#snapshot();
+      const snapshot = this.snapshot();
       await this.#store.compact({ snapshot, records: [], exclusive: false });
     } finally {
       this.#compacting = false;
     }
   }
 
-  *#snapshot(): Generator<string> {
+  /** All rows and the state, as lines. */
+  *snapshot(): Generator<string> {
     yield JSON.stringify([STORE_STATE_KIND, this.#state]);
     for (const row of this.table.rows()) yield encodeRow(row);
   }
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -1,5 +1,6 @@
 import type { LatestValue, MemberEntry, StoreView } from '../cluster';
 import {
+  type CancelTimer,
   type Clock,
   type Component,
   type Logger,
@@ -36,6 +37,9 @@
 
 const EXPIRY_INTERVAL_MILLISECONDS = 10_000;
 
+/** Delay before a view that the disk has refused is written again. */
+const VIEW_RETRY_MILLISECONDS = 1000;
+
 /** Size after which the answer to a read of a chain ends. */
 const CHAIN_ANSWER_LIMIT_BYTES = 1024 * 1024;
 
@@ -70,6 +74,9 @@
   readonly #createdAt: { readonly timeOfDay: number; readonly monotonic: number };
   #view: StoreView | undefined;
   #viewPersisted: Promise<void> = Promise.resolve();
+  /** Whether the newest view is in memory only. */
+  #isViewRefused = false;
+  #cancelViewRetry: CancelTimer = () => undefined;
 
   constructor(options: TurnStoreOptions) {
     this.#options = options;
@@ -95,6 +102,7 @@
 
   async stop(): Promise<void> {
     this.#expiryTask.stop();
+    this.#cancelViewRetry();
     this.#options.backfill.stop();
     await this.#options.journal.close();
   }
@@ -121,18 +129,29 @@
 
   /** Rejects requests of older views at once; requests of this one wait until it is durable. */
   #adopt(view: StoreView): void {
-    const { journal, backfill, logger } = this.#options;
     if (view.epoch <= (this.#view?.epoch ?? 0)) return;
     this.#view = view;
-    const persisted =
-      view.epoch === journal.view?.epoch ? Promise.resolve() : journal.persistView(view);
-    this.#viewPersisted = Promise.all([this.#viewPersisted, persisted]).then(() => undefined);
+    this.#persistView(view);
+  }
+
+  /** Requests of the view are rejected while the disk refuses it. */
+  #persistView(view: StoreView): void {
+    const { journal, backfill, clock, logger } = this.#options;
+    this.#viewPersisted =
+      view.epoch === journal.view?.epoch && !this.#isViewRefused
+        ? Promise.resolve()
+        : journal.persistView(view);
     this.#viewPersisted.then(
       () => {
+        this.#isViewRefused = false;
         backfill.start(view);
       },
       (error: unknown) => {
+        this.#isViewRefused = true;
         logger.error({ event: 'view-not-kept', epoch: view.epoch, error: messageOf(error) });
+        this.#cancelViewRetry = clock.after(VIEW_RETRY_MILLISECONDS, () => {
+          if (this.#view === view) this.#persistView(view);
+        });
       },
     );
   }
