What a store keeps has a bound in memory and on disk, whatever the size of a turn

Cause: only turns above 64 KiB were counted. Change: all turns count. From 0.9 of a limit its answers to reservations and records name the largest turn that it still takes; a gateway refuses larger ones with 503 before they run, while less than a quorum takes them. A refused record of a turn up to 64 KiB is not repeated until its deadline. A turn whose line would take many escape sequences is written in Base64, 4/3 at most.

--- a/src/resources/limits.ts
+++ b/src/resources/limits.ts
@@ -3,6 +3,8 @@
 export interface ResourceSettings {
   readonly 'memory-megabytes': number;
   readonly descriptors: number;
+  /** Undefined if the size of the disk is not known. */
+  readonly 'disk-megabytes'?: number | undefined;
 }
 
 export interface ResourceLimits {
@@ -12,7 +14,9 @@
   readonly operatorBytes: number;
   /** Memory for messages of other processes that have not arrived completely; bytes. */
   readonly frameBytes: number;
-  /** Memory for stored turns, of a store; bytes. */
+  /** Memory for stored turns of any size, of a store, which its disk holds as well; bytes. */
+  readonly keptBytes: number;
+  /** Memory for stored turns beyond which large ones are refused, of a store; bytes. */
   readonly storedBytes: number;
   /** Memory to write turns with, of a store; bytes. */
   readonly writingBytes: number;
@@ -42,6 +46,7 @@
 const BODY_SHARE = 0.2;
 const OPERATOR_SHARE = 0.2;
 const FRAME_SHARE = 0.2;
+const KEPT_SHARE = 0.6;
 const STORED_SHARE = 0.25;
 const WRITING_SHARE = 0.2;
 const CHAIN_CACHE_SHARE = 0.2;
@@ -82,6 +87,7 @@
     bodyBytes: room * BODY_SHARE,
     operatorBytes: Math.max(room * OPERATOR_SHARE, SMALLEST_MESSAGE_BYTES),
     frameBytes: Math.max(room * FRAME_SHARE, SMALLEST_MESSAGE_BYTES),
+    keptBytes: Math.min(room * KEPT_SHARE, turnsOnDisk(settings['disk-megabytes'])),
     storedBytes: room * STORED_SHARE,
     writingBytes: room * WRITING_SHARE,
     chainCacheBytes: Math.min(
@@ -98,3 +104,19 @@
     },
   };
 }
+
+/** Room on a disk besides two copies of the turns: what was appended since the last snapshot. */
+const APPENDED_MEGABYTES = 64;
+
+/** Smallest share of a disk for the turns, if it has less than that room. */
+const SMALLEST_TURNS_SHARE = 0.1;
+
+/** Bytes on disk for each byte of a turn, at most: Base64. */
+const ENCODING_FACTOR = 4 / 3;
+
+/** Turns that a disk holds twice: in the present snapshot, and in the one that replaces it; bytes. */
+function turnsOnDisk(megabytes: number | undefined): number {
+  if (megabytes === undefined) return Infinity;
+  const room = Math.max(megabytes - APPENDED_MEGABYTES, megabytes * SMALLEST_TURNS_SHARE);
+  return (room * MEGABYTE) / (2 * ENCODING_FACTOR);
+}
--- a/src/turns/contract.ts
+++ b/src/turns/contract.ts
@@ -37,6 +37,8 @@
   /** Whether the store has completed its backfill: it holds all that earlier views acknowledged. */
   readonly complete: boolean;
   readonly reservations: readonly Reservation[];
+  /** Size up to which the store has memory for another turn; bytes; absent if it is not limited. */
+  readonly largestTurnBytes?: number;
 }
 
 export interface RecordRequest extends ViewRequest {
@@ -52,6 +54,8 @@
 
 export interface RecordAnswer {
   readonly kind: 'kept';
+  /** As in {@link ReservationsAnswer}. */
+  readonly largestTurnBytes?: number;
   /** Whether the store has completed its backfill; absent on stores of a former build. */
   readonly complete?: boolean;
   /**
--- a/src/turns/records.ts
+++ b/src/turns/records.ts
@@ -87,11 +87,14 @@
 /** Turns of this size or more are encoded in Base64; JSON may take six characters for a byte. */
 const BASE64_TURN_BYTES = 64 * 1024;
 
+/** Bytes of a line for each byte of a turn, above which the turn is encoded in Base64. */
+const LATIN1_LINE_FACTOR = 1.25;
+
 const BASE64_TURN_KIND = 'turn-base64';
 
 /**
  * Encodes a row as one line of JSON; binary fields are Latin-1 text, one character per byte, or Base64
- * in large turns.
+ * in turns that are large or would take many escape sequences.
  */
 export function encodeRow(row: TurnRow): string {
   if (row.kind === 'budget') {
@@ -99,10 +102,16 @@
     return JSON.stringify(['budget', row.program, row.changedAt, entries]);
   }
   const { record } = row;
-  const isLarge = estimateTurnBytes(record) >= BASE64_TURN_BYTES;
-  const encoding = isLarge ? 'base64' : 'latin1';
+  const bytes = estimateTurnBytes(record);
+  if (bytes >= BASE64_TURN_BYTES) return encodeTurn(record, BASE64_TURN_KIND, 'base64');
+  const line = encodeTurn(record, 'turn', 'latin1');
+  const isLonger = Buffer.byteLength(line) > bytes * LATIN1_LINE_FACTOR;
+  return isLonger ? encodeTurn(record, BASE64_TURN_KIND, 'base64') : line;
+}
+
+function encodeTurn(record: TurnRecord, kind: string, encoding: 'latin1' | 'base64'): string {
   return JSON.stringify([
-    isLarge ? BASE64_TURN_KIND : 'turn',
+    kind,
     record.id,
     record.program,
     record.previous ?? '',
--- a/src/turns/store-queries.ts
+++ b/src/turns/store-queries.ts
@@ -29,6 +29,16 @@
 /** Minimum time between two `quorum-missed` log lines. */
 const QUORUM_MISSED_LOG_INTERVAL_MILLISECONDS = 1000;
 
+/** Time for which a store is taken to be without memory after it has said so. */
+const STORE_FULL_MILLISECONDS = 2000;
+
+interface LimitedStore {
+  /** Size up to which it has memory for another turn; bytes. */
+  readonly largestTurnBytes: number;
+  /** Monotonic time; milliseconds. */
+  readonly at: number;
+}
+
 export interface StoreQueriesOptions {
   readonly view: LatestValue<StoreView>;
   readonly quorumMonitor: Pick<QuorumMonitor, 'recordSuccess'>;
@@ -47,6 +57,8 @@
   /** Without it, all stores are queried at once. */
   readonly hedge?: (view: StoreView) => Hedging;
   readonly query: (view: StoreView, member: ViewMember) => Promise<Reply<Answer>>;
+  /** Whether another round may have another outcome; asked after each, true by default. */
+  readonly mayRetry?: () => boolean;
 }
 
 /** Calls of one gateway to the stores of the current view. */
@@ -54,6 +66,8 @@
   readonly #options: StoreQueriesOptions;
   /** Stores whose last call failed or was late. */
   readonly #unresponsive = new Set<string>();
+  /** Stores whose last answer said that they have memory for turns of limited size only. */
+  readonly #limited = new Map<string, LimitedStore>();
   readonly #ranker = new ReplicaRanker();
   readonly #quorumMissedLog: RateLimitedLogLine;
 
@@ -76,12 +90,39 @@
     return this.#ranker.rank(view, program);
   }
 
-  call<Name extends keyof TurnContract['calls']>(
-    { address }: ViewMember,
+  async call<Name extends keyof TurnContract['calls']>(
+    { name: store, address }: ViewMember,
     name: Name,
     request: TurnContract['calls'][Name]['request'],
   ): Promise<TurnContract['calls'][Name]['answer']> {
-    return this.#options.peers.call(address, name, request, CALL_TIMEOUT_MILLISECONDS);
+    const { peers } = this.#options;
+    const answer = await peers.call(address, name, request, CALL_TIMEOUT_MILLISECONDS);
+    if (answer.kind === 'reservations' || answer.kind === 'kept')
+      this.#noteLimit(store, answer.largestTurnBytes);
+    return answer;
+  }
+
+  /** Records that a store has refused a turn of this size. */
+  noteRefusal({ name }: ViewMember, bytes: number): void {
+    this.#noteLimit(name, bytes - 1);
+  }
+
+  /** Whether a quorum of the stores has lately had memory for a turn of this size. */
+  hasRoomFor(bytes: number): boolean {
+    const { view } = this;
+    if (view === undefined || this.#limited.size === 0) return true;
+    const since = this.#options.clock.monotonic() - STORE_FULL_MILLISECONDS;
+    const isFull = ({ name }: ViewMember) => {
+      const limited = this.#limited.get(name);
+      return limited !== undefined && limited.at > since && limited.largestTurnBytes < bytes;
+    };
+    const fullCount = view.members.filter(isFull).length;
+    return view.members.length - fullCount >= view.quorum;
+  }
+
+  #noteLimit(store: string, largestTurnBytes: number | undefined): void {
+    if (largestTurnBytes === undefined) this.#limited.delete(store);
+    else this.#limited.set(store, { largestTurnBytes, at: this.#options.clock.monotonic() });
   }
 
   /** Reports that a quorum of the current view has answered. */
@@ -127,7 +168,7 @@
     options: QuorumQueryOptions<Answer>,
   ): Promise<readonly Answer[]> {
     const { clock, metrics } = this.#options;
-    const { deadline, isCounted = () => true, hedge, query } = options;
+    const { deadline, isCounted = () => true, hedge, query, mayRetry = () => true } = options;
     let reason = 'no stores are known';
     for (;;) {
       const { view } = this;
@@ -151,7 +192,7 @@
         metrics.count('quorums_missed_total');
         this.#quorumMissedLog.write({ epoch: view.epoch, reason });
       }
-      if (clock.monotonic() + RETRY_DELAY_MILLISECONDS >= deadline) {
+      if (!mayRetry() || clock.monotonic() + RETRY_DELAY_MILLISECONDS >= deadline) {
         throw new TurnsUnavailableError(`too few stores answer: ${reason}`);
       }
       await delay(clock, RETRY_DELAY_MILLISECONDS);
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -31,7 +31,7 @@
   COPIES_OF_TURN,
   RecordAdmission,
   type RecordAdmissionOptions,
-  largeTurnBytes,
+  sizesOf,
 } from './record-admission';
 import type { TurnRecord } from './records';
 
@@ -51,7 +51,7 @@
   readonly journal: TurnJournal;
   readonly backfill: Backfill;
   readonly view: LatestValue<StoreView>;
-  /** Bounds the memory of large turns; unbounded by default. */
+  /** Bounds the memory of turns; unbounded by default. */
   readonly memory?: RecordAdmissionOptions & { readonly reclaimer: MemoryReclaimer };
   readonly clock: Clock;
   readonly logger: Logger;
@@ -59,6 +59,7 @@
 }
 
 const UNBOUNDED = {
+  keptBytes: Infinity,
   storedBytes: Infinity,
   writingBytes: Infinity,
   reclaimer: new MemoryReclaimer(Infinity),
@@ -205,7 +206,8 @@
 
   #reservations(program: string): ReservationsAnswer {
     const reservations = this.#options.journal.table.reservations(program);
-    return { kind: 'reservations', complete: this.#isComplete, reservations };
+    const complete = this.#isComplete;
+    return { kind: 'reservations', complete, reservations, ...this.#limit() };
   }
 
   #record({ epoch, record }: RecordRequest): Promise<RecordAnswer | ViewMismatch> {
@@ -219,18 +221,26 @@
   /** Resolves once the records are durable, with what is still missing of the chain of `turn`. */
   async #keep(turn: string, records: readonly TurnRecord[]): Promise<RecordAnswer> {
     const { journal } = this.#options;
-    const bytes = largeTurnBytes(records);
+    const sizes = sizesOf(records.filter(({ id }) => !journal.table.has(id)));
     const { turnBytes: keptBytes } = journal.table;
     let missing: string | undefined;
-    await this.#admission.run({ bytes, keptBytes }, () => {
+    await this.#admission.run(sizes, keptBytes, () => {
       const written = journal.add(records.map((record) => ({ kind: 'turn', record })));
       // Turns that are added to the table from here on may become durable later than `records`.
       missing = journal.table.missingAncestor(turn);
       return written;
     });
     // The copies that were made to write them.
-    if (bytes > 0) this.#reclaimer.recordReleased(bytes * COPIES_OF_TURN);
-    return { kind: 'kept', complete: this.#isComplete, missing };
+    const { largeBytes } = sizes;
+    if (largeBytes > 0) this.#reclaimer.recordReleased(largeBytes * COPIES_OF_TURN);
+    return { kind: 'kept', complete: this.#isComplete, missing, ...this.#limit() };
+  }
+
+  /** Size up to which there is memory for another turn; empty if it is not limited. */
+  #limit(): { readonly largestTurnBytes?: number } {
+    const { turnBytes } = this.#options.journal.table;
+    const largestTurnBytes = this.#admission.largestTurnBytes(turnBytes);
+    return largestTurnBytes === Infinity ? {} : { largestTurnBytes };
   }
 
   #settle({ program, turn, tokens }: SettleNotice): void {
--- a/src/turns/turn-recorder.ts
+++ b/src/turns/turn-recorder.ts
@@ -63,8 +63,9 @@
     this.#options = options;
   }
 
-  /** Whether stores have had memory for large turns lately. */
+  /** Whether the stores have had memory for turns of this size lately. */
   hasRoomFor(bytes: number): boolean {
+    if (!this.#options.stores.hasRoomFor(bytes)) return false;
     if (bytes <= SMALL_TURN_BYTES) return true;
     return this.#options.clock.monotonic() - this.#storeFullAt > STORE_FULL_MILLISECONDS;
   }
@@ -106,9 +107,12 @@
 
   #write(record: TurnRecord, deadline: number): Promise<readonly TurnCopy[]> {
     const { stores } = this.#options;
+    const bytes = estimateTurnBytes(record);
     return stores.queryQuorum<TurnCopy>({
       deadline,
       isCounted: isComplete,
+      // Memory for large turns is free again once others are written, and that for all turns is not.
+      mayRetry: () => bytes > SMALL_TURN_BYTES || stores.hasRoomFor(bytes),
       hedge: (view) => ({
         order: stores.responsiveFirst(stores.rank(view, record.program)),
         initialCount: view.quorum,
@@ -118,16 +122,19 @@
         const { epoch } = view;
         const answer = await stores
           .call(member, 'turns.record', { epoch, record })
-          .catch(this.#noteStoreFull);
+          .catch((error: unknown) => this.#noteStoreFull(error, member, bytes));
         return answer.kind === 'kept' ? { ...answer, member, view } : answer;
       },
     });
   }
 
-  readonly #noteStoreFull = (error: unknown): never => {
-    if (isStoreFull(error)) this.#storeFullAt = this.#options.clock.monotonic();
+  #noteStoreFull(error: unknown, member: ViewMember, bytes: number): never {
+    if (isStoreFull(error)) {
+      if (bytes > SMALL_TURN_BYTES) this.#storeFullAt = this.#options.clock.monotonic();
+      else this.#options.stores.noteRefusal(member, bytes);
+    }
     throw error;
-  };
+  }
 
   /** Resolves with whether each store of a quorum now holds the whole chain. */
   async #completeQuorum(copies: readonly TurnCopy[], options: RecordOptions): Promise<boolean> {
