--- a/src/storage/recovering-store.ts
+++ b/src/storage/recovering-store.ts
@@ -2,7 +2,10 @@
 import { StorageError } from './errors';
 import type { Compaction, RecordConsumer, RecordStore, StoredRecords } from './record-store';
 
-const RETRY_MILLISECONDS = 1000;
+const FIRST_RETRY_MILLISECONDS = 1000;
+
+/** Each try reads all files, and may write as much. */
+const LONGEST_RETRY_MILLISECONDS = 4000;
 
 export interface RecoveringStoreOptions {
   /** Name in the log. */
@@ -102,8 +105,10 @@
   async #repeatOpen(failed: RecordStore | undefined): Promise<void> {
     const { name, clock, logger } = this.#options;
     await failed?.close().catch(() => undefined);
+    let retryMilliseconds = FIRST_RETRY_MILLISECONDS;
     do {
-      await delay(clock, RETRY_MILLISECONDS);
+      await delay(clock, retryMilliseconds);
+      retryMilliseconds = Math.min(retryMilliseconds * 2, LONGEST_RETRY_MILLISECONDS);
       if (this.#isClosed) return;
     } while (!(await this.#open()));
     logger.info({ event: 'storage-recovered', store: name });
