Settings of a host without a disk are valid

Cause: the sheet of such a host has diskMb 0, for which the template wrote disk-megabytes = 0, and the schema asked for a positive size: gateways without a disk ended with 2.

--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -44,8 +44,8 @@
       'memory-megabytes': z.number().positive().default(DEFAULT_MEMORY_MEGABYTES),
       /** Sockets, pipes and files that the process may have open at once. */
       descriptors: z.int().positive().default(DEFAULT_DESCRIPTORS),
-      /** Size of the disk, in units of 2^20 bytes; not known if absent. */
-      'disk-megabytes': z.number().positive().optional(),
+      /** Size of the disk, in units of 2^20 bytes; 0 without a disk, and not known if absent. */
+      'disk-megabytes': z.number().nonnegative().optional(),
     })
     .prefault({}),
   'target-list': z.strictObject({
--- a/src/nodes/tests/initial-settings.test.ts
+++ b/src/nodes/tests/initial-settings.test.ts
@@ -67,6 +67,12 @@
     expect(reports).toHaveLength(1);
   });
 
+  it('accepts the settings of a host without a disk', async () => {
+    writeFileSync(file, `${SETTINGS}[resources]\ndisk-megabytes = 0\n`);
+    expect(await read()).toMatchObject({ kind: 'valid' });
+    expect(reports).toEqual([]);
+  });
+
   it('gives up settings that stay invalid', async () => {
     writeFileSync(file, '[node]');
     const settings = read();
