A signal ends martenbay-local at once until it serves; tests share their settings

From reading the diff: since signals have handlers from the start, Ctrl-C was obeyed only after a demonstration had ended. The own programs, like gateways and stores, receive uncaught errors until their components have stopped.

--- a/src/binary/run.ts
+++ b/src/binary/run.ts
@@ -2,7 +2,7 @@
 import type * as z from 'zod';
 import {
   type Clock,
-  type LifeCycle,
+  LifeCycle,
   type Logger,
   MartenbayError,
   type RandomSource,
@@ -107,10 +107,12 @@
     logger.fatal({ event: 'process-failed', error: messageOf(error) });
     process.exit(EXIT_CODES.failed);
   };
-  lifeCycle.add('uncaught-errors', new UncaughtErrors({ clock, logger, onExcess }));
+  const processLifeCycle = new LifeCycle();
+  processLifeCycle.add('uncaught-errors', new UncaughtErrors({ clock, logger, onExcess }));
+  processLifeCycle.add(options.role, lifeCycle);
   const stop = (signal: StopSignal) => {
     logger.info({ event: 'stopping', signal });
-    lifeCycle.stop().then(
+    processLifeCycle.stop().then(
       () => {
         logger.info({ event: 'stopped' });
         process.exit(EXIT_CODES.stopped);
@@ -125,7 +127,7 @@
     logger.info({ event: 'settings-not-reloaded', reason: 'they are read at the start only' });
   });
   try {
-    await lifeCycle.start();
+    await processLifeCycle.start();
   } catch (error) {
     logger.fatal({ event: 'start-failed', error: messageOf(error) });
     process.exit(EXIT_CODES.failed);
--- a/src/local/command.ts
+++ b/src/local/command.ts
@@ -46,6 +46,8 @@
 
 /** Runs the `martenbay-local` command. */
 export async function runLocalCommand(signals: ProcessSignals): Promise<void> {
+  // Until it serves, there is nothing to finish.
+  signals.onStop(() => process.exit(0));
   const program = new Command('martenbay-local')
     .description(
       'Runs all roles and stand-ins for engines and services in one process, for local testing.',
--- a/src/nodes/tests/initial-settings.test.ts
+++ b/src/nodes/tests/initial-settings.test.ts
@@ -4,21 +4,7 @@
 import type { StopSignal } from '../../core';
 import { ManualClock } from '../../core/tests/manual-clock';
 import { readInitialSettings } from '../initial-settings';
-
-const SETTINGS = `
-[node]
-name = "g1"
-availability-zone = "a"
-address = "127.0.0.1:7000"
-first-start = true
-seeds = []
-tolerated-losses = 1
-stop-seconds = 8
-[listen]
-[target-list]
-address = "127.0.0.1:7001"
-calls-per-second = 10
-`;
+import { SAMPLE_SETTINGS } from './sample-settings';
 
 // Guards against a process that ends because its settings are written while it starts.
 describe('readInitialSettings', () => {
@@ -56,19 +42,19 @@
 
   it.each([
     ['are empty', ''],
-    ['end within a line', SETTINGS.slice(0, 30)],
+    ['end within a line', SAMPLE_SETTINGS.slice(0, 30)],
   ])('waits while they %s', async (_name, text) => {
     writeFileSync(file, text);
     const settings = read();
     await advance(1000);
-    writeFileSync(file, SETTINGS);
+    writeFileSync(file, SAMPLE_SETTINGS);
     await advance(100);
     expect(await settings).toMatchObject({ kind: 'valid', settings: { node: { name: 'g1' } } });
     expect(reports).toHaveLength(1);
   });
 
   it('accepts the settings of a host without a disk', async () => {
-    writeFileSync(file, `${SETTINGS}[resources]\ndisk-megabytes = 0\n`);
+    writeFileSync(file, `${SAMPLE_SETTINGS}[resources]\ndisk-megabytes = 0\n`);
     expect(await read()).toMatchObject({ kind: 'valid' });
     expect(reports).toEqual([]);
   });
--- a/src/nodes/tests/run.test.ts
+++ b/src/nodes/tests/run.test.ts
@@ -5,21 +5,7 @@
 import { collectLog } from '../../core/tests/collected-log';
 import { type CreateNode, runNode } from '..';
 import type { NodeContext } from '../node-context';
-
-const SETTINGS = `
-[node]
-name = "g1"
-availability-zone = "a"
-address = "127.0.0.1:7000"
-first-start = true
-seeds = ["10.0.0.1:1"]
-tolerated-losses = 1
-stop-seconds = 8
-[listen]
-[target-list]
-address = "127.0.0.1:7001"
-calls-per-second = 10
-`;
+import { SAMPLE_SETTINGS } from './sample-settings';
 
 const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 
@@ -46,7 +32,7 @@
   beforeEach(async () => {
     events = [];
     finishDrain = () => undefined;
-    writeFileSync(file, SETTINGS);
+    writeFileSync(file, SAMPLE_SETTINGS);
     for (const event of EVENTS) process.removeAllListeners(event);
     jest.spyOn(process, 'exit').mockImplementation(((code: number) => {
       events.push(`exit ${code}`);
@@ -111,7 +97,7 @@
   // Guards against a change of the settings that ends the process.
   describe('on SIGHUP', () => {
     it('applies the settings file and goes on', async () => {
-      writeFileSync(file, SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
+      writeFileSync(file, SAMPLE_SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
       process.emit('SIGHUP');
       await flushEventLoop();
       expect(seeds()).toEqual(['10.0.0.2:1']);
@@ -120,7 +106,7 @@
 
     it('applies the settings file while draining', async () => {
       process.emit('SIGTERM');
-      writeFileSync(file, SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
+      writeFileSync(file, SAMPLE_SETTINGS.replace('10.0.0.1:1', '10.0.0.2:1'));
       process.emit('SIGHUP');
       await flushEventLoop();
       expect(seeds()).toEqual(['10.0.0.2:1']);
--- a/tests/crowds/stored-turns.test.ts
+++ b/tests/crowds/stored-turns.test.ts
@@ -22,32 +22,21 @@
   afterEach(() => system.stop());
 
   it.each([
-    ['of plain text', 'x'],
-    ['of bytes that are escaped on disk', '\u0001'],
-  ])('are kept or refused, %s', async (_name, byte) => {
-    const body = Buffer.alloc(BODY_BYTES, byte);
+    ['of plain text', { bytes: BODY_BYTES, byte: 'x', rounds: ROUNDS }],
+    ['of bytes that are escaped on disk', { bytes: BODY_BYTES, byte: '\u0001', rounds: ROUNDS }],
+    [
+      'of ordinary size, as many as the memory holds and more',
+      { bytes: ORDINARY_BYTES, byte: 'x', rounds: ORDINARY_ROUNDS },
+    ],
+  ])('are kept or refused, %s', async (_name, { bytes, byte, rounds }) => {
+    const body = Buffer.alloc(bytes, byte);
     const send = async (client: CrowdMember) => {
-      const headers = [`content-length: ${BODY_BYTES}`, 'connection: close'];
+      const headers = [`content-length: ${bytes}`, 'connection: close'];
       await client.write(head({ path: '/turns/a', headers }));
       await client.write(body);
     };
     const address = system.addresses.callers;
-    for (let round = 0; round < ROUNDS; round += 1) {
-      const members = await sendCrowd({ address, count: TURNS, send });
-      await Promise.all(members.map(({ closed }) => closed));
-    }
-    await expectSurvival(system);
-  });
-
-  it('are kept or refused, of ordinary size, as many as the memory holds and more', async () => {
-    const body = Buffer.alloc(ORDINARY_BYTES, 'x');
-    const send = async (client: CrowdMember) => {
-      const headers = [`content-length: ${ORDINARY_BYTES}`, 'connection: close'];
-      await client.write(head({ path: '/turns/a', headers }));
-      await client.write(body);
-    };
-    const address = system.addresses.callers;
-    for (let round = 0; round < ORDINARY_ROUNDS; round += 1) {
+    for (let round = 0; round < rounds; round += 1) {
       const members = await sendCrowd({ address, count: TURNS, send });
       await Promise.all(members.map(({ closed }) => closed));
     }
