--- a/src/gateway/event-data-collector.ts
+++ b/src/gateway/event-data-collector.ts
@@ -3,6 +3,9 @@
 
 const LINE_FEED = '\n';
 
+/** Data up to this size are not counted, so that turns of ordinary size leave the memory to bodies. */
+const UNCOUNTED_BYTES = 16 * 1024;
+
 /** Counts the server-sent events in a response, and collects their data byte for byte. */
 export class EventDataCollector {
   readonly #parser: EventSourceParser;
@@ -33,14 +36,15 @@
 
   /** The data of each event, terminated by a line feed. */
   toBuffer(): Buffer {
-    if (this.#data.isSplit) this.#account?.add(this.#data.length);
+    const isCopied = this.#data.isSplit && this.#data.length > UNCOUNTED_BYTES;
+    if (isCopied) this.#account?.add(this.#data.length);
     return this.#data.toBuffer();
   }
 
   #collect(account: MemoryAccount, data: string): void {
-    const before = this.#data.allocatedBytes;
     this.#data.append(Buffer.from(data + LINE_FEED, 'latin1'));
-    const added = this.#data.allocatedBytes - before;
+    const { allocatedBytes } = this.#data;
+    const added = (allocatedBytes > UNCOUNTED_BYTES ? allocatedBytes : 0) - account.bytes;
     if (added > 0) account.add(added);
   }
 }
--- a/src/gateway/tests/event-data-collector.test.ts
+++ b/src/gateway/tests/event-data-collector.test.ts
@@ -18,6 +18,14 @@
     expect(collector.toBuffer()).toHaveLength(0);
   });
 
+  it('does not count a turn of ordinary size', () => {
+    const account = openUnboundedAccount();
+    const collector = new EventDataCollector(account);
+    for (let event = 0; event < 8; event += 1) collector.push(Buffer.from(EVENT));
+    expect(account.bytes).toBe(0);
+    expect(collector.toBuffer()).toHaveLength(8 * 1001);
+  });
+
   it('counts what it keeps as memory of the request', () => {
     const account = openUnboundedAccount();
     const collector = new EventDataCollector(account);
