--- a/src/nodes/store-node.ts
+++ b/src/nodes/store-node.ts
@@ -86,8 +86,8 @@
     const { clock, random, logger, metrics, view, configuration, peers } = context;
     const self = context.describeSelf(false, journal.dataLife);
     const backfill = new Backfill({ self: self.name, journal, peers, clock, random, logger });
-    const { keptBytes, storedBytes, writingBytes } = context.limits;
-    const memory = { keptBytes, storedBytes, writingBytes, reclaimer: context.reclaimer };
+    const { turnsBytes, largeTurnsBytes, writingBytes } = context.limits;
+    const memory = { turnsBytes, largeTurnsBytes, writingBytes, reclaimer: context.reclaimer };
     const store = new TurnStore({
       ...{ self: self.name, journal, backfill, view, memory, clock, logger, metrics },
     });
--- a/src/resources/limits.ts
+++ b/src/resources/limits.ts
@@ -15,9 +15,9 @@
   /** Memory for messages of other processes that have not arrived completely; bytes. */
   readonly frameBytes: number;
   /** Memory for stored turns of any size, of a store, which its disk holds as well; bytes. */
-  readonly keptBytes: number;
+  readonly turnsBytes: number;
   /** Memory for stored turns beyond which large ones are refused, of a store; bytes. */
-  readonly storedBytes: number;
+  readonly largeTurnsBytes: number;
   /** Memory to write turns with, of a store; bytes. */
   readonly writingBytes: number;
   /** Memory of the cache of completed turns, of a gateway; bytes. */
@@ -46,8 +46,8 @@
 const BODY_SHARE = 0.2;
 const OPERATOR_SHARE = 0.2;
 const FRAME_SHARE = 0.2;
-const KEPT_SHARE = 0.6;
-const STORED_SHARE = 0.25;
+const TURNS_SHARE = 0.6;
+const LARGE_TURNS_SHARE = 0.25;
 const WRITING_SHARE = 0.2;
 const CHAIN_CACHE_SHARE = 0.2;
 const COLLECTION_SHARE = 0.06;
@@ -87,8 +87,8 @@
     bodyBytes: room * BODY_SHARE,
     operatorBytes: Math.max(room * OPERATOR_SHARE, SMALLEST_MESSAGE_BYTES),
     frameBytes: Math.max(room * FRAME_SHARE, SMALLEST_MESSAGE_BYTES),
-    keptBytes: Math.min(room * KEPT_SHARE, turnsOnDisk(settings['disk-megabytes'])),
-    storedBytes: room * STORED_SHARE,
+    turnsBytes: Math.min(room * TURNS_SHARE, turnsOnDisk(settings['disk-megabytes'])),
+    largeTurnsBytes: room * LARGE_TURNS_SHARE,
     writingBytes: room * WRITING_SHARE,
     chainCacheBytes: Math.min(
       Math.max(room * CHAIN_CACHE_SHARE, SMALLEST_CHAIN_CACHE_BYTES),
--- a/src/turns/record-admission.ts
+++ b/src/turns/record-admission.ts
@@ -18,9 +18,9 @@
 
 export interface RecordAdmissionOptions {
   /** Memory for all turns that are kept, of any size; bytes. */
-  readonly keptBytes: number;
+  readonly turnsBytes: number;
   /** Memory for all turns that are kept, beyond which large ones are refused; bytes. */
-  readonly storedBytes: number;
+  readonly largeTurnsBytes: number;
   /** Memory to write turns with; bytes. One turn of any size is always written at a time. */
   readonly writingBytes: number;
 }
@@ -109,9 +109,11 @@
 
   /** Memory of all kept turns beyond which turns of this size are refused; bytes. */
   #limitFor(turnBytes: number): number {
-    const { keptBytes, storedBytes } = this.#options;
-    if (turnBytes <= ORDINARY_TURN_BYTES) return keptBytes;
-    const smallTurnsBytes = keptBytes * SMALL_TURN_SHARE;
-    return turnBytes <= SMALL_TURN_BYTES ? smallTurnsBytes : Math.min(storedBytes, smallTurnsBytes);
+    const { turnsBytes, largeTurnsBytes } = this.#options;
+    if (turnBytes <= ORDINARY_TURN_BYTES) return turnsBytes;
+    const smallTurnsBytes = turnsBytes * SMALL_TURN_SHARE;
+    return turnBytes <= SMALL_TURN_BYTES
+      ? smallTurnsBytes
+      : Math.min(largeTurnsBytes, smallTurnsBytes);
   }
 }
--- a/src/turns/store.ts
+++ b/src/turns/store.ts
@@ -59,8 +59,8 @@
 }
 
 const UNBOUNDED = {
-  keptBytes: Infinity,
-  storedBytes: Infinity,
+  turnsBytes: Infinity,
+  largeTurnsBytes: Infinity,
   writingBytes: Infinity,
   reclaimer: new MemoryReclaimer(Infinity),
 };
--- a/src/turns/tests/record-admission.test.ts
+++ b/src/turns/tests/record-admission.test.ts
@@ -3,7 +3,7 @@
 
 const LARGE_BYTES = 100_000;
 
-const LIMITS = { keptBytes: 2_000_000, storedBytes: 1_000_000, writingBytes: 1_000_000 };
+const LIMITS = { turnsBytes: 2_000_000, largeTurnsBytes: 1_000_000, writingBytes: 1_000_000 };
 
 const SIZES = { totalBytes: LARGE_BYTES, largestBytes: LARGE_BYTES, largeBytes: LARGE_BYTES };
 
@@ -41,7 +41,7 @@
 
   it('writes one turn of any size at a time', async () => {
     const admission = new RecordAdmission({
-      ...{ keptBytes: Infinity, storedBytes: Infinity, writingBytes: 1 },
+      ...{ turnsBytes: Infinity, largeTurnsBytes: Infinity, writingBytes: 1 },
     });
     const write = startWrite(admission);
     write.finish();
@@ -55,7 +55,11 @@
   });
 
   it('does not refuse small turns for the limits of large ones', async () => {
-    const admission = new RecordAdmission({ keptBytes: 20_000, storedBytes: 0, writingBytes: 0 });
+    const admission = new RecordAdmission({
+      turnsBytes: 20_000,
+      largeTurnsBytes: 0,
+      writingBytes: 0,
+    });
     const writes = [startWrite(admission, 5000, 5000), startWrite(admission, 5000, 5000)];
     for (const { finish } of writes) finish();
     await expect(Promise.all(writes.map(({ outcome }) => outcome))).resolves.toHaveLength(2);
